--- /dev/null
+++ b/mothshed/__init__.py
@@ -0,0 +1,1 @@
+"""mothshed: a router fleet for split prefill and decode."""
--- /dev/null
+++ b/mothshed/common/__init__.py
@@ -0,0 +1,1 @@
+"""The common library of mothshed; docs/design.md says what belongs here."""
--- /dev/null
+++ b/mothshed/common/constants.py
@@ -0,0 +1,94 @@
+"""All constants of mothshed, each with its unit and its reason.
+
+Nothing else in the tree holds a tunable number. The timing argument that ties
+the lease, vote and activation figures together is in docs/configuration.md;
+change one of them only together with that page.
+"""
+
+# --- agreement between keepers -------------------------------------------
+HEART_BEAT = 0.12        # s; owner's append beat. Four fit into VOTE_HOLD.
+VOTE_HOLD = 0.6          # s; a member that heard an owner gives no vote for this long.
+ELECT_LOW = 0.8          # s; shortest silence before standing for owner (> VOTE_HOLD).
+ELECT_SPAN = 0.8         # s; random spread over it, so that members rarely stand together.
+OWNER_QUIET = 0.6        # s; an owner without a majority's answers for this long steps down.
+ROUND_GAP = 0.01         # s; majority confirmations asked within it share one round.
+APPEND_MOST = 64         # entries in one append; bounds one record's size.
+SNAP_EVERY = 256         # entries between snapshots; bounds replay and repair.
+KEEP_BEHIND = 64         # entries kept below a snapshot for members that lag a little.
+SEGMENT_BYTES = 262144   # bytes; a log segment is closed past this size.
+JOIN_BEAT = 0.5          # s; an outside or empty member asks again this often.
+MEMBER_SILENT = 5.0      # s; a silent member may be replaced by a caught-up one after this.
+LEARN_SLACK = 8          # entries a learner may lag and still be admitted.
+FIRST_MEMBERS = 3        # members; the brief's deployments have three disk machines.
+PARTS = 4                # parts; part 0 is configuration, services hash over the rest.
+COMMIT_WAIT = 3.0        # s; an operator's write unresolved by then is answered "unknown".
+
+# --- configuration leases ------------------------------------------------
+LEASE_LONG = 0.9         # s; lease while no change is under way.
+LEASE_SHORT = 0.18       # s; lease during a change: keeps the brief's 0.25 s by construction.
+LEASE_SLACK = 0.04       # s; owner's margin on a lease for clock rates and rounding.
+ASK_BEAT = 0.25          # s; a router renews this often; three asks fit into a long lease.
+ASK_BEAT_SHORT = 0.05    # s; renewal beat during a change; three fit into a short lease.
+OLD_GRANTS = 1.2         # s; after a stage is committed no older lease is granted past this.
+LEASE_WAIT = 2.5         # s; a request waits this long for a lease before it is bounced.
+HISTORY = 64             # documents kept for read-back.
+
+# --- orders to replicas --------------------------------------------------
+TURN_GAP = 3.2           # s; a new holder waits this long before its first order (brief: 3).
+ORDER_BEAT = 0.5         # s; the holder looks at split and drains this often.
+SHIFT_HOLD = 6.0         # s; least time between two shifts of one pool: hysteresis.
+SHIFT_UP = 1.6           # ratio of pressures between the sides beyond which a replica moves.
+SHIFT_AGREE = 4          # beats in a row that must see the same lean before a shift.
+ORDER_TIME = 1.0         # s; longest wait for a replica to take an order.
+
+# --- membership and hints ------------------------------------------------
+VIEW_MOST = 12           # neighbours in a partial view; log2 of 200 nodes and some slack.
+SHUFFLE_MOST = 6         # neighbours swapped in one shuffle: half a view.
+SHUFFLE_BEAT = 0.5       # s; one shuffle per node and beat.
+HINT_LIFE = 6.0          # s; a hint about usage or keepers older than this is dropped.
+VIEW_AGE_MOST = 24       # shuffles; a neighbour unseen for this many is forgotten.
+HINTS_MOST = 64          # hints in one record; bounds its size.
+LIST_BEAT = 0.5          # s; the platform list is read this often (brief: 3 s to obey).
+LIST_TIME = 1.0          # s; longest wait for the list.
+PROBE_BEAT = 0.5         # s; a replica's condition older than this is read again.
+PROBE_TIME = 0.6         # s; longest wait for a condition.
+CONDITION_LIFE = 3.0     # s; a replica unheard of for longer is not placed upon.
+
+# --- requests ------------------------------------------------------------
+CUTOFF = 8.0             # s; default cutoff when neither request nor kind says one.
+CUTOFF_MOST = 60.0       # s; the longest cutoff a user agent may ask for.
+BODY_MOST = 4194304      # bytes; larger requests get 413.
+CONNECT_TIME = 0.5       # s; connecting to a replica on a local network takes milliseconds.
+STREAM_QUIET = 3.0       # s; a stream silent for longer is taken as broken.
+HANDLE_LIFE = 5.0        # s; a held handle older than this is not sent to decode (ours).
+QUEUE_WAIT = 0.8         # s; longest wait for a free place: "begin within about a second".
+QUEUE_MOST = 64          # requests waiting per router; past it the bounce is immediate.
+QUEUE_TENANT = 24        # requests waiting per tenant and router.
+PLACE_BEAT = 0.02        # s; waiting requests look for a free place this often.
+FRONT_THREADS = 160      # threads of the HTTP front: one per connection being served.
+RETRY_AFTER = 1          # s; told to user agents that are bounced.
+REPLICA_SLACK = 2        # requests a replica may queue beyond its slots before we hold back.
+
+# --- extra sends ---------------------------------------------------------
+BUDGET_SPAN = 10.0       # s; the brief's window.
+BUDGET_SHARE = 0.15      # extra sends per first send; below the brief's fifth.
+BUDGET_SLACK = 2         # extra sends a router may do in any window regardless.
+SENDS_MOST = 3           # sends of one step of one request, the first included.
+
+# --- frees ---------------------------------------------------------------
+FREE_TIME = 0.6          # s; one free order's wait.
+FREE_BEAT = 0.4          # s; unsent frees are tried again this often.
+FREE_LIFE = 20.0         # s; then the replica's own lapse has surely taken the blocks.
+FREES_MOST = 1024        # unsent frees kept; the oldest go first.
+
+# --- process -------------------------------------------------------------
+DRAIN_MOST = 20.0        # s; a polite stop waits this long for requests in flight.
+RING_MOST = 2000         # log messages kept in memory.
+JOURNAL_MOST = 4096      # events kept in a journal after they are folded.
+RECORD_MOST = 8388608    # bytes; a longer peer record closes the connection.
+PEER_QUEUE = 512         # records waiting for one peer; more are dropped, peers ask again.
+PEER_CONNECT = 0.5       # s; connecting to a peer.
+PEER_RETRY = 0.2         # s; pause after a failed connect.
+EOF_BYTES = 65536        # bytes read from a peer at once.
+HTTP_POOL = 64           # kept connections per back end for probes and lists.
+HTTP_THREADS = 12        # threads of a keeper's operator front.
--- /dev/null
+++ b/mothshed/common/gossip.py
@@ -0,0 +1,89 @@
+"""Partial views shuffled between neighbours, and the hints that ride along.
+
+Each node keeps a bounded view of others and, every beat, swaps a part of it with
+its oldest neighbour. Hints (replica usage and cache, who is leaving, keepers'
+addresses) carry an age that grows on the way; the youngest counts and old ones
+die. Nothing that must be agreed on travels here: a keeper's address is only a
+place to ask, and the answer comes from the part's owner.
+"""
+
+import mothshed.common.constants as constants
+
+
+class Gossip:
+    def __init__(self, desk, name, kind, cell, seeds, replicas=None):
+        self.desk, self.name, self.kind, self.cell = desk, name, kind, cell
+        self.seeds = [s for s in seeds if s != desk.address]
+        self.replicas = replicas
+        self.view = {}          # address -> {"age", "kind", "cell", "name"}
+        self.keeps = {}         # keeper address -> time last vouched for
+        self.rounds = 0
+        self.waiting = None     # neighbour asked in the last round
+        desk.hear("shuffle", self.on_shuffle)
+        desk.post(self.tick)
+
+    def me(self):
+        return [self.desk.address, 0, self.kind, self.cell, self.name]
+
+    def tick(self):
+        self.shuffle()
+        self.desk.beat(constants.SHUFFLE_BEAT * (0.8 + 0.4 * self.desk.random.random()), self.tick)
+
+    def shuffle(self):
+        self.rounds += 1
+        if self.waiting:                        # it never answered: a suspect, let it go
+            self.view.pop(self.waiting, None)
+        for row in self.view.values():
+            row["age"] += 1
+        for address in [a for a, r in self.view.items() if r["age"] > constants.VIEW_AGE_MOST]:
+            del self.view[address]
+        goal = max(self.view, key=lambda a: self.view[a]["age"]) if self.view else None
+        if self.seeds and (goal is None or self.rounds % 8 == 0):
+            goal = self.desk.random.choice(self.seeds)
+        if goal:
+            self.waiting = goal
+            self.desk.tell(goal, "shuffle", view=self.some(goal), hints=self.hints(), reply=False)
+
+    def some(self, goal):
+        rows = [[a, r["age"], r["kind"], r["cell"], r["name"]] for a, r in self.view.items() if a != goal]
+        pick = self.desk.random.sample(rows, min(len(rows), constants.SHUFFLE_MOST - 1))
+        return pick + [self.me()]
+
+    def on_shuffle(self, sender, body):
+        if not body["reply"]:
+            self.desk.tell(sender, "shuffle", view=self.some(sender), hints=self.hints(), reply=True)
+        elif sender == self.waiting:
+            self.waiting = None
+        for address, age, kind, cell, name in body["view"]:
+            if address == self.desk.address:
+                continue
+            old = self.view.get(address)
+            if old is None or old["age"] > age:
+                self.view[address] = {"age": age, "kind": kind, "cell": cell, "name": name}
+        while len(self.view) > constants.VIEW_MOST:
+            worst = max(self.view, key=lambda a: (self.view[a]["age"], self.desk.random.random()))
+            del self.view[worst]
+        for hint in body["hints"]:
+            self.take(hint)
+
+    def hints(self):
+        now = self.desk.now()
+        self.keeps = {a: t for a, t in self.keeps.items() if now - t < 5 * constants.HINT_LIFE}
+        if self.kind == "keep":
+            self.keeps[self.desk.address] = now
+        rows = [{"keep": a, "age": round(now - t, 3)} for a, t in self.keeps.items()]
+        if self.replicas:
+            rows += [h for h in self.replicas.hints() if h["age"] < constants.HINT_LIFE]
+        return rows[:constants.HINTS_MOST]
+
+    def take(self, hint):
+        if "keep" in hint:
+            at = self.desk.now() - max(0.0, hint["age"])
+            self.keeps[hint["keep"]] = max(at, self.keeps.get(hint["keep"], at))
+        elif self.replicas:
+            self.replicas.take_hint(hint)
+
+    def keepers(self):
+        """Addresses to ask for the owner: those vouched for lately, then the seeds."""
+        late = sorted(self.keeps, key=lambda a: -self.keeps[a])
+        return [a for a in late if a != self.desk.address] + [s for s in self.seeds if s not in self.keeps]
--- /dev/null
+++ b/mothshed/common/journal.py
@@ -0,0 +1,62 @@
+"""A journal in memory and the views folded from it.
+
+Inside a process what happened is appended as an event, and everything that
+decisions read is a view folded from those events in order. The journal keeps
+the latest events for the log ring; views keep what they folded.
+
+>>> j = Journal()
+>>> v = j.view(Count())
+>>> j.add("sent", n=2); j.add("sent", n=1)
+>>> v.sent
+3
+"""
+
+import collections
+import threading
+
+import mothshed.common.constants as constants
+
+
+class Count:
+    """The doctest's view: adds up what was sent."""
+
+    def __init__(self):
+        self.sent = 0
+
+    def fold(self, kind, event):
+        self.sent += event["n"]
+
+
+class Journal:
+    def __init__(self, now=lambda: 0.0):
+        self.now = now
+        self.events = collections.deque(maxlen=constants.JOURNAL_MOST)
+        self.views = []
+        self.lock = threading.RLock()
+
+    def view(self, view):
+        self.views.append(view)
+        return view
+
+    def add(self, kind, **event):
+        with self.lock:
+            event["at"] = self.now()
+            self.events.append((kind, event))
+            for view in self.views:
+                view.fold(kind, event)
+
+
+class Totals:
+    """Counters for the metrics page: one per event kind and outcome."""
+
+    def __init__(self):
+        self.counts = collections.Counter()
+
+    def fold(self, kind, event):
+        self.counts[kind] += 1
+        if "outcome" in event:
+            self.counts[f"{kind}_{event['outcome']}"] += 1
+
+    def text(self):
+        rows = sorted(self.counts.items())
+        return "".join(f"mothshed_{name}_total {n}\n" for name, n in rows)
--- /dev/null
+++ b/mothshed/common/lease.py
@@ -0,0 +1,112 @@
+"""The holder's side of the configuration lease.
+
+A process serves only while a lease runs, and the lease is counted from the
+moment it asked, so whatever delay or freeze follows only shortens it. While a
+newer document is staged here, no lease lasts more than LEASE_SHORT. `sequence`
+is the check made right before every send: it gives the sequence to serve under,
+or None. All of it runs in one mailbox; readers in other threads see one tuple.
+"""
+
+import mothshed.common.constants as constants
+
+
+class Lease:
+    def __init__(self, desk, keepers, wants=True, changed=lambda: None):
+        self.desk = desk
+        self.keepers = keepers          # () -> addresses that may know the owner
+        self.wants = wants              # a watcher without need of a lease still stages
+        self.changed = changed
+        self.owner = ""
+        self.docs = {}                  # sequence -> document
+        self.active, self.staged = 0, 0
+        self.until = 0.0
+        self.view = (0, 0.0, None)      # (active, until, document), read by other threads
+        self.mark, self.asked, self.answered = 0, {}, desk.now()
+        self.number = 0                 # latest news number
+        self.turn = 0
+        for kind in ("grant", "news", "look_elsewhere"):
+            desk.hear(kind, getattr(self, "on_" + kind), 0)
+        desk.post(self.tick)
+
+    def tick(self):
+        self.ask()
+        busy = self.staged > self.active
+        self.desk.beat(constants.ASK_BEAT_SHORT if busy else constants.ASK_BEAT, self.tick)
+
+    def ask(self):
+        now = self.desk.now()
+        if now - self.answered > 2 * constants.ASK_BEAT:
+            self.owner = ""
+        goal = self.owner
+        if not goal:
+            known = self.keepers()
+            if not known:
+                return
+            self.turn += 1
+            goal = known[self.turn % len(known)]
+        self.mark += 1
+        self.asked[self.mark] = now
+        self.asked.pop(self.mark - 50, None)
+        self.desk.tell(goal, "ask", part=0, mark=self.mark, held=self.number, staged=self.staged)
+
+    def on_look_elsewhere(self, sender, body):
+        if body["owner"] and body["owner"] != self.owner:
+            self.owner = body["owner"]
+            self.answered = self.desk.now()
+            self.ask()
+
+    def on_grant(self, sender, body):
+        asked = self.asked.pop(body["mark"], None)
+        if asked is None:
+            return
+        self.answered = self.desk.now()
+        self.owner = sender
+        self.stage(body["docs"], sender, body["number"])
+        if body["active"] < self.active:
+            return
+        length = body["length"]
+        if self.staged > body["active"]:
+            length = min(length, constants.LEASE_SHORT)
+        self.activate(body["active"])
+        if self.active == body["active"]:
+            self.until = max(self.until, asked + length)
+        self.show()
+
+    def on_news(self, sender, body):
+        self.answered = self.desk.now()
+        self.owner = sender
+        self.stage(body["docs"], sender, body["number"])
+        self.activate(body["active"])
+        self.show()
+
+    def stage(self, docs, sender, number):
+        self.number = number
+        for sequence, doc in docs:
+            self.docs[sequence] = doc
+            self.staged = max(self.staged, sequence)
+        if self.staged > self.active:
+            self.until = min(self.until, self.desk.now() + constants.LEASE_SHORT)
+            self.show()
+        if docs:
+            self.desk.tell(sender, "news_ack", part=0, number=number, staged=self.staged)
+
+    def activate(self, sequence):
+        if sequence <= self.active or sequence not in self.docs:
+            return
+        self.active = sequence
+        for old in [s for s in self.docs if s < sequence]:
+            del self.docs[old]
+
+    def show(self):
+        old = self.view[0]
+        self.view = (self.active, self.until, self.docs.get(self.active))
+        if old != self.active:
+            self.changed()
+
+    def sequence(self):
+        """The sequence to serve under now, or None."""
+        active, until, doc = self.view
+        return active if doc is not None and self.desk.now() < until else None
+
+    def document(self):
+        return self.view[2]
--- /dev/null
+++ b/mothshed/common/platform_list.py
@@ -0,0 +1,33 @@
+"""The one place that knows the platform's list of replicas.
+
+The platform answers GET with {"items": [...]}, each item a replica's name,
+address, zone, service, labels and whether it is leaving. The list lags and may
+fail; the last good one is kept. What leaves here is in our words.
+"""
+
+import mothshed.common.constants as constants
+import mothshed.common.web as web
+
+
+def read(desk, url):
+    status, said = desk.web.poll("GET", url, read=constants.LIST_TIME)
+    if status != 200:
+        raise web.WebFault(f"list status {status}", True)
+    return parse(said)
+
+
+def parse(said):
+    """
+    >>> parse({"items": [{"name": "r1", "address": "127.0.0.1:1", "zone": "a", "service": "s",
+    ...     "labels": {"app": "x"}, "state": "leaving"}]})["r1"]["leaving"]
+    True
+    """
+    rows = {}
+    try:
+        for item in said["items"]:
+            rows[str(item["name"])] = {
+                "url": "http://" + item["address"], "cell": str(item["zone"]), "service": str(item["service"]),
+                "labels": dict(item["labels"]), "leaving": item["state"] != "ready"}
+    except (KeyError, TypeError, ValueError) as e:
+        raise web.WebFault(f"list: {e!r}", True) from e
+    return rows
--- /dev/null
+++ b/mothshed/common/records.py
@@ -0,0 +1,111 @@
+"""Records between the system's own processes, packed with `struct`.
+
+A record is a header (mark, kind, body length, checksum) and a body whose fields
+are fixed per kind. Field codes: q whole number, d float, ? flag, s text, j a
+JSON value (documents and lists). Anything that does not fit is a RecordFault;
+the connection that carried it is closed and counted, and the process lives.
+
+>>> kind, body = unpack(pack("hello", address="127.0.0.1:9"))
+>>> kind, body["address"]
+('hello', '127.0.0.1:9')
+"""
+
+import json
+import struct
+import zlib
+
+import mothshed.common.constants as constants
+
+HEAD = struct.Struct("!4sHII")
+MARK = b"mth1"
+LONG = struct.Struct("!I")
+SCALAR = {"q": struct.Struct("!q"), "d": struct.Struct("!d"), "?": struct.Struct("!?")}
+
+FIELDS = {
+    "hello": "address:s",
+    "shuffle": "view:j hints:j reply:?",
+    # agreement
+    "born_ask": "part:q who:s address:s http:s",
+    "born_say": "part:q who:s address:s http:s empty:? members:j",
+    "join_ask": "part:q who:s address:s http:s",
+    "vote_ask": "part:q term:q who:s last:q last_term:q trial:? handed:?",
+    "vote_say": "part:q term:q who:s granted:? trial:?",
+    "append": "part:q term:q who:s prev:q prev_term:q commit:q round:q entries:j",
+    "append_say": "part:q term:q who:s good:? match:q round:q",
+    "snap": "part:q term:q who:s index:q index_term:q members:j state:j round:q",
+    "hand": "part:q term:q who:s",
+    # news
+    "ask": "part:q mark:q held:q staged:q",
+    "grant": "part:q mark:q length:d number:q active:q docs:j owner:s",
+    "news": "part:q number:q active:q docs:j",
+    "news_ack": "part:q number:q staged:q",
+    "look_elsewhere": "part:q mark:q owner:s",
+}
+NAMES = {name: at + 1 for at, name in enumerate(FIELDS)}
+KINDS = {at: name for name, at in NAMES.items()}
+SHAPES = {name: [f.split(":") for f in text.split()] for name, text in FIELDS.items()}
+
+
+class RecordFault(Exception):
+    """A record whose mark, kind, length, checksum or body is wrong."""
+
+
+def pack(kind, **body):
+    parts = []
+    for name, code in SHAPES[kind]:
+        item = body[name]
+        if code in SCALAR:
+            parts.append(SCALAR[code].pack(item))
+        else:
+            text = item if code == "s" else json.dumps(item, separators=(",", ":"))
+            data = text.encode()
+            parts.append(LONG.pack(len(data)) + data)
+    data = b"".join(parts)
+    if len(data) > constants.RECORD_MOST:
+        raise RecordFault(f"{kind} is too long to send: {len(data)} bytes")
+    return HEAD.pack(MARK, NAMES[kind], len(data), zlib.crc32(data)) + data
+
+
+def parse_head(head):
+    mark, kind, size, check = HEAD.unpack(head)
+    if mark != MARK:
+        raise RecordFault("wrong mark")
+    if kind not in KINDS:
+        raise RecordFault(f"unknown kind {kind}")
+    if size > constants.RECORD_MOST:
+        raise RecordFault(f"length {size} is over the limit")
+    return KINDS[kind], size, check
+
+
+def parse_body(kind, data, check):
+    if zlib.crc32(data) != check:
+        raise RecordFault("wrong checksum")
+    body, at = {}, 0
+    try:
+        for name, code in SHAPES[kind]:
+            if code in SCALAR:
+                body[name] = SCALAR[code].unpack_from(data, at)[0]
+                at += SCALAR[code].size
+                continue
+            size = LONG.unpack_from(data, at)[0]
+            at += LONG.size
+            piece = data[at:at + size]
+            if len(piece) != size:
+                raise RecordFault("field runs past the end")
+            at += size
+            text = piece.decode()
+            body[name] = text if code == "s" else json.loads(text)
+    except (struct.error, UnicodeDecodeError, ValueError) as e:
+        raise RecordFault(f"body of {kind}: {e}") from e
+    if at != len(data):
+        raise RecordFault(f"{len(data) - at} bytes left over in {kind}")
+    return body
+
+
+def unpack(data):
+    if len(data) < HEAD.size:
+        raise RecordFault("short head")
+    kind, size, check = parse_head(data[:HEAD.size])
+    if len(data) != HEAD.size + size:
+        raise RecordFault("wrong length")
+    return kind, parse_body(kind, data[HEAD.size:], check)
--- /dev/null
+++ b/mothshed/common/replica_adapter.py
@@ -0,0 +1,191 @@
+"""The one place that knows the replicas' outside formats.
+
+Requests follow the OpenAI-style completions API with vLLM's kv_transfer_params,
+as DESIGN and the paper name them: prefill with max_tokens=1, stream=false and
+do_remote_decode; decode with the handle that came back. Condition, role and free
+calls are the small endpoints a replica of ours offers beside it. Whatever a
+replica says is checked before it is believed: request id, engine id, whole body,
+whole stream. Nothing of these formats is known elsewhere.
+"""
+
+import dataclasses
+import hashlib
+import json
+
+import mothshed.common.constants as constants
+import mothshed.common.verdict as verdict
+import mothshed.common.web as web
+
+BLOCK = 256     # characters of prompt per cache key, as replicas report them
+KEYS_MOST = 32  # keys per prompt
+
+
+@dataclasses.dataclass(frozen=True)
+class Handle:
+    """A KV export held by a prefill replica, bound to one request and engine."""
+    request: str
+    replica: str
+    address: str
+    engine: str
+    params: dict
+    born: float
+
+
+def prompt_of(path, body):
+    if path == "/v1/chat/completions":
+        return "\n".join(f"{m['role']}: {m['content']}" for m in body["messages"])
+    return body["prompt"]
+
+
+def prefix_keys(prompt):
+    """Chained keys of the prompt's whole leading blocks.
+
+    >>> a, b = prefix_keys("x" * 600), prefix_keys("x" * 512 + "y" * 100)
+    >>> len(a), a == b
+    (2, True)
+    """
+    keys, chain = [], b""
+    for at in range(0, min(len(prompt) // BLOCK, KEYS_MOST)):
+        piece = prompt[at * BLOCK:(at + 1) * BLOCK].encode()
+        chain = hashlib.blake2b(chain + piece, digest_size=8).digest()
+        keys.append(chain.hex())
+    return keys
+
+
+def headers_of(request, sequence, left):
+    return {"x-request-id": request.id, "x-config-sequence": str(sequence), "x-cutoff-ms": str(int(left * 1000))}
+
+
+def fail_of(error, replica):
+    kind = verdict.Verdict.MAY_HAVE_RUN if error.sent else verdict.Verdict.NOT_RUN
+    return verdict.SendFailure(kind, str(error), replica)
+
+
+def bad_status(response, replica):
+    """A status that is not 200: not_run only when the replica itself says so."""
+    try:
+        error = response.body().get("error", {})
+        said, kind = error.get("verdict"), error.get("type", "")
+    except (web.WebFault, AttributeError):
+        said, kind = None, ""
+    clean = said == "not_run" and response.headers.get("x-request-id") is not None
+    proof = verdict.Verdict.NOT_RUN if clean else verdict.Verdict.MAY_HAVE_RUN
+    return verdict.SendFailure(proof, f"status {response.status} {kind}".strip(), replica, gone=kind == "kv_gone")
+
+
+def prefill(desk, request, place, sequence, left):
+    """Orders the prefill and returns the Handle; its one token is discarded."""
+    body = {**request.body, "max_tokens": 1, "stream": False,
+            "kv_transfer_params": {"do_remote_decode": True, "do_remote_prefill": False}}
+    body.pop("stream_options", None)
+    born = desk.now()
+    try:
+        response = desk.web.send("POST", place.url + request.path, body, headers_of(request, sequence, left), read=left)
+        if response.status != 200:
+            raise bad_status(response, place.name)
+        said = response.body()
+        params = said["kv_transfer_params"]
+        needed = [params[k] for k in ("remote_engine_id", "remote_block_ids", "remote_host", "remote_port")]
+        if params["remote_request_id"] != request.id or request.id not in said["id"]:
+            raise ValueError("handle of another request")
+        if not all(isinstance(n, (str, int, list)) and n != "" for n in needed):
+            raise ValueError("handle not whole")
+        if place.engine and params["remote_engine_id"] != place.engine:
+            raise ValueError("handle of another engine")
+    except web.WebFault as e:
+        raise fail_of(e, place.name) from e
+    except (KeyError, TypeError, ValueError) as e:
+        raise verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, f"prefill answer: {e!r}", place.name) from e
+    return Handle(request.id, place.name, place.url, params["remote_engine_id"], params, born)
+
+
+def decode(desk, request, place, handle, sequence, left):
+    """Orders the decode; returns an iterator of (text, finish reason) that ends only when whole."""
+    if handle.request != request.id:
+        raise verdict.SendFailure(verdict.Verdict.NOT_RUN, "handle of another request", place.name, gone=True)
+    if desk.now() - handle.born > constants.HANDLE_LIFE:
+        raise verdict.SendFailure(verdict.Verdict.NOT_RUN, "handle too old", place.name, gone=True)
+    body = {**request.body, "stream": True,
+            "kv_transfer_params": {**handle.params, "do_remote_prefill": True, "do_remote_decode": False}}
+    body.pop("stream_options", None)
+    try:
+        response = desk.web.send("POST", place.url + request.path, body, headers_of(request, sequence, left),
+                                 read=min(left, constants.STREAM_QUIET))
+        if response.status != 200:
+            raise bad_status(response, place.name)
+    except web.WebFault as e:
+        raise fail_of(e, place.name) from e
+    return Stream(desk, request, place, response, left)
+
+
+class Stream:
+    """The decode replica's tokens. Iterating raises SendFailure unless the end was whole."""
+
+    def __init__(self, desk, request, place, response, left):
+        self.desk, self.request, self.place, self.response = desk, request, place, response
+        self.until = desk.now() + left
+
+    def __iter__(self):
+        finish, done = None, False
+        try:
+            for line in self.response.lines():
+                if self.desk.now() > self.until:
+                    raise ValueError("cutoff passed")
+                line = line.strip()
+                if not line:
+                    continue
+                if done or not line.startswith(b"data: "):
+                    raise ValueError("not an event line")
+                if line == b"data: [DONE]":
+                    done = True
+                    continue
+                text, finish = self.read(json.loads(line[6:]), finish)
+                yield text, finish
+            if not (done and finish):
+                raise ValueError("stream ended before its end")
+        except web.WebFault as e:
+            raise verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, str(e), self.place.name) from e
+        except (KeyError, IndexError, TypeError, ValueError) as e:
+            raise verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, f"stream: {e!r}", self.place.name) from e
+
+    def read(self, chunk, finish):
+        if "error" in chunk:
+            raise ValueError(f"error after 200: {chunk['error']}")
+        if self.request.id not in chunk["id"]:
+            raise ValueError("chunk of another request")
+        if finish:
+            raise ValueError("chunk after the finish")
+        choice = chunk["choices"][0]
+        text = choice["delta"].get("content", "") if "delta" in choice else choice["text"]
+        if not isinstance(text, str):
+            raise ValueError("chunk without text")
+        return text, choice.get("finish_reason")
+
+    def close(self):
+        self.response.close()
+
+
+def free(desk, handle):
+    """Orders the free; True once the replica holds the blocks no more."""
+    body = {"engine_id": handle.engine, "request_id": handle.request, "block_ids": handle.params["remote_block_ids"]}
+    status, said = desk.web.poll("POST", handle.address + "/kv/free", body, read=constants.FREE_TIME)
+    return status in (200, 404)
+
+
+def condition(desk, url):
+    status, said = desk.web.poll("GET", url + "/condition")
+    if status != 200 or not isinstance(said, dict):
+        raise web.WebFault(f"status {status}", True)
+    try:
+        return {"engine": str(said["engine_id"]), "role": str(said["role"]), "run": int(said["running"]),
+                "wait": int(said["waiting"]), "slots": int(said["slots"]),
+                "keys": [str(k) for k in said["cache"]][:KEYS_MOST], "standing": int(said["standing"])}
+    except (KeyError, TypeError, ValueError) as e:
+        raise web.WebFault(f"condition: {e!r}", True) from e
+
+
+def order_role(desk, url, role, standing, holder, sequence):
+    """Orders a role under a standing: True when the replica took it."""
+    body = {"role": role, "standing": standing, "holder": holder, "sequence": sequence}
+    status, said = desk.web.poll("POST", url + "/role", body, read=constants.ORDER_TIME)
+    return status == 200
--- /dev/null
+++ b/mothshed/common/replicas.py
@@ -0,0 +1,136 @@
+"""What a process knows of the replicas: the list, and conditions that age.
+
+Conditions come from own probes and from hints of neighbours; the younger one
+counts. A replica seen leaving, by own reading or by a hint, takes nothing new
+from then on. Usage is estimated as what others had there at the last report plus
+what this process has there now, so that a stale report does not hide own sends.
+"""
+
+import concurrent.futures
+import dataclasses
+import threading
+
+import mothshed.common.constants as constants
+import mothshed.common.platform_list as platform_list
+import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.web as web
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """A replica as a goal of a send."""
+    name: str
+    url: str
+    engine: str
+    cell: str
+
+
+class Replicas:
+    def __init__(self, desk, list_url, journal, pool=8):
+        self.desk, self.list_url, self.journal = desk, list_url, journal
+        self.rows = {}          # name -> row of the platform's list
+        self.conditions = {}    # name -> {"at", "own", "c"}
+        self.leaving = {}       # name -> when first known as leaving
+        self.mine = {}          # name -> sends of ours running there
+        self.doubts = {}        # name -> until when a failed connect keeps us away
+        self.lock = threading.RLock()
+        self.pool = concurrent.futures.ThreadPoolExecutor(pool, "probe")
+        self.probing = set()
+        self.list_at = -1e9
+
+    def run(self):
+        self.desk.spawn(self.read_lists)
+        self.desk.spawn(self.probe_all)
+
+    def read_lists(self):
+        while True:
+            try:
+                self.take_list(platform_list.read(self.desk, self.list_url))
+            except web.WebFault as e:
+                self.journal.add("list", outcome="failed", reason=str(e))
+            self.desk.pause(constants.LIST_BEAT)
+
+    def take_list(self, rows):
+        now = self.desk.now()
+        with self.lock:
+            self.rows, self.list_at = rows, now
+            for name, row in rows.items():
+                if row["leaving"]:
+                    self.leaving.setdefault(name, now)
+                else:
+                    self.leaving.pop(name, None)
+            for table in (self.conditions, self.leaving):
+                for name in [n for n in table if n not in rows]:
+                    del table[name]
+
+    def probe_all(self):
+        while True:
+            now = self.desk.now()
+            for name, row in list(self.rows.items()):
+                seen = self.conditions.get(name)
+                if name not in self.probing and (not seen or now - seen["at"] > constants.PROBE_BEAT * 0.8):
+                    self.probing.add(name)
+                    self.pool.submit(self.probe, name, row["url"])
+            self.desk.pause(constants.PROBE_BEAT / 2)
+
+    def probe(self, name, url):
+        own, at = self.mine.get(name, 0), self.desk.now()
+        try:
+            self.take_condition(name, at, own, replica_adapter.condition(self.desk, url))
+        except web.WebFault as e:
+            self.journal.add("probe", outcome="failed", replica=name, reason=str(e))
+        finally:
+            self.probing.discard(name)
+
+    def take_condition(self, name, at, own, said):
+        with self.lock:
+            seen = self.conditions.get(name)
+            if name in self.rows and (not seen or seen["at"] < at):
+                self.conditions[name] = {"at": at, "own": own, "c": said}
+
+    def hints(self):
+        now = self.desk.now()
+        with self.lock:
+            return [{"replica": n, "age": round(now - s["at"], 3), "c": s["c"], "leaving": n in self.leaving}
+                    for n, s in self.conditions.items()]
+
+    def take_hint(self, hint):
+        name = hint["replica"]
+        if hint["leaving"] and name in self.rows:
+            self.leaving.setdefault(name, self.desk.now())
+        self.take_condition(name, self.desk.now() - max(0.0, hint["age"]), self.mine.get(name, 0), hint["c"])
+
+    def doubt(self, name, span=1.0):
+        self.doubts[name] = self.desk.now() + span
+
+    def usable(self, selector, role=None):
+        """name -> condition of the listed, staying, lately heard replicas under a selector."""
+        now = self.desk.now()
+        with self.lock:
+            found = {}
+            for name, row in self.rows.items():
+                seen = self.conditions.get(name)
+                if (name in self.leaving or not seen or now - seen["at"] > constants.CONDITION_LIFE
+                        or self.doubts.get(name, 0) > now or role and seen["c"]["role"] != role):
+                    continue
+                if all(row["labels"].get(k) == v for k, v in selector.items()):
+                    found[name] = seen["c"]
+            return found
+
+    def usage(self, name):
+        """Estimated requests at a replica, waiting ones included."""
+        seen = self.conditions[name]
+        others = max(0, seen["c"]["run"] + seen["c"]["wait"] - seen["own"])
+        return others + self.mine.get(name, 0)
+
+    def begin(self, name):
+        with self.lock:
+            self.mine[name] = self.mine.get(name, 0) + 1
+
+    def end(self, name):
+        with self.lock:
+            self.mine[name] = max(0, self.mine.get(name, 0) - 1)
+
+    def place(self, name):
+        row = self.rows[name]
+        return Place(name, row["url"], self.conditions[name]["c"]["engine"], row["cell"])
--- /dev/null
+++ b/mothshed/common/settings.py
@@ -0,0 +1,82 @@
+"""Settings: a process's place, from a file, flags over it; checked whole.
+
+The file is JSON. Every fault is listed with its path. A process needs its name,
+its peer and HTTP addresses, its zone (cell), three seed addresses of other
+processes and the platform's list; a keeper also its data folder and, if they are
+not the seeds, the first members of its groups.
+
+>>> faults({"name": "r1"})[0]
+'address: required key not provided'
+"""
+
+import ipaddress
+import json
+import pathlib
+
+import voluptuous
+
+import mothshed.common.configuration as configuration
+
+
+class SettingsFault(Exception):
+    """Settings with faults, each with its path."""
+
+    def __init__(self, found):
+        super().__init__("\n".join(found))
+        self.found = found
+
+
+def address(text):
+    if not isinstance(text, str) or ":" not in text:
+        raise voluptuous.Invalid("expected ip:port")
+    host, port = text.rsplit(":", 1)
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        good = 0 < int(port) < 65536
+    except ValueError:
+        good = False
+    if not good:
+        raise voluptuous.Invalid(f"expected ip:port, got {text!r}")
+    return text
+
+
+SCHEMA = voluptuous.Schema({
+    "name": voluptuous.All(str, voluptuous.Match(r"^[A-Za-z0-9._-]{1,64}$")),
+    "address": address,
+    "http": address,
+    "cell": voluptuous.All(str, voluptuous.Length(min=1)),
+    "seeds": voluptuous.All([address], voluptuous.Length(min=1, max=3)),
+    "list_url": voluptuous.All(str, voluptuous.Match(r"^http://")),
+    voluptuous.Optional("first_keepers"): voluptuous.All([address], voluptuous.Length(min=1, max=7)),
+    voluptuous.Optional("data"): voluptuous.All(str, voluptuous.Length(min=1)),
+    voluptuous.Optional("ring"): str,
+    voluptuous.Optional("drain_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
+}, required=True)
+
+
+def faults(settings):
+    try:
+        SCHEMA(settings)
+    except voluptuous.MultipleInvalid as many:
+        return sorted(f"{configuration.path_of(e)}: {e.error_message}" for e in many.errors)
+    return []
+
+
+def load(path, flags, keeper=False):
+    """The settings of a process: the file's, with every given flag put over them."""
+    settings = {}
+    if path:
+        try:
+            settings = json.loads(pathlib.Path(path).read_text())
+        except (OSError, ValueError) as e:
+            raise SettingsFault([f"{path}: {e}"]) from e
+        if not isinstance(settings, dict):
+            raise SettingsFault([f"{path}: must be a JSON object"])
+    settings.update({k: v for k, v in flags.items() if v not in (None, [], "")})
+    found = faults(settings)
+    if keeper and not settings.get("data"):
+        found.append("data: a keeper needs a data folder")
+    if found:
+        raise SettingsFault(found)
+    settings.setdefault("first_keepers", settings["seeds"])
+    return settings
--- /dev/null
+++ b/mothshed/common/web.py
@@ -0,0 +1,86 @@
+"""HTTP towards replicas and the platform, through urllib3.
+
+A send uses a connection of its own and is never repeated by the library: a
+failure before the connection stood proves that nothing was sent; any later one
+proves nothing. Polls (conditions, lists) use kept connections.
+"""
+
+import json
+
+import urllib3
+
+import mothshed.common.constants as constants
+
+
+class WebFault(Exception):
+    """A call without a whole answer; `sent` is False only when proven."""
+
+    def __init__(self, reason, sent):
+        super().__init__(reason)
+        self.sent = sent
+
+
+NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.LocationValueError, urllib3.exceptions.NameResolutionError)
+FAULTS = (urllib3.exceptions.HTTPError, OSError, ValueError)
+
+
+class Response:
+    def __init__(self, raw):
+        self.raw = raw
+        self.status, self.headers = raw.status, raw.headers
+
+    def body(self):
+        try:
+            return json.loads(self.raw.read())
+        except FAULTS as e:
+            raise WebFault(f"body: {e}", True) from e
+        finally:
+            self.close()
+
+    def lines(self):
+        """Whole lines as they come; a cut stream is a WebFault."""
+        rest = b""
+        try:
+            for piece in self.raw.stream(None if self.raw.chunked else 1024):
+                rest += piece
+                *whole, rest = rest.split(b"\n")
+                yield from whole
+            if rest:
+                raise WebFault("stream ends within a line", True)
+        except FAULTS as e:
+            raise WebFault(f"stream: {type(e).__name__}: {e}", True) from e
+        finally:
+            self.close()
+
+    def close(self):
+        self.raw.close()
+        self.raw.release_conn()
+
+
+class Web:
+    def __init__(self):
+        self.kept = urllib3.PoolManager(num_pools=constants.HTTP_POOL, maxsize=4, retries=False)
+
+    def send(self, method, url, body=None, headers=None, connect=constants.CONNECT_TIME,
+             read=constants.STREAM_QUIET):
+        """One send on a connection of its own; the caller closes the response."""
+        pool = urllib3.PoolManager(num_pools=1, retries=False)
+        return self.ask(pool, method, url, body, headers, connect, read)
+
+    def poll(self, method, url, body=None, headers=None, read=constants.PROBE_TIME):
+        """A small exchange on a kept connection: (status, JSON body)."""
+        response = self.ask(self.kept, method, url, body, headers, constants.CONNECT_TIME, read)
+        return response.status, response.body()
+
+    def ask(self, pool, method, url, body, headers, connect, read):
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"content-type": "application/json", **(headers or {})}
+        try:
+            raw = pool.request(method, url, body=data, headers=headers, preload_content=False, redirect=False,
+                               timeout=urllib3.Timeout(connect=connect, read=max(read, 0.01)))
+        except NOT_SENT as e:
+            raise WebFault(f"{type(e).__name__}", False) from e
+        except FAULTS as e:
+            raise WebFault(f"{type(e).__name__}: {e}", True) from e
+        return Response(raw)
--- /dev/null
+++ b/mothshed/control_plane/election.py
@@ -0,0 +1,149 @@
+"""Who owns a part: votes, terms, hand-over.
+
+A member stands when it has heard no owner for a random while, first in a trial
+round that changes no term, so that a member cut off and back disturbs nobody. No
+member gives a vote within VOTE_HOLD of hearing an owner, nor within VOTE_HOLD of
+its own start (its earlier promise may still hold); leases lean on that. Only a
+named successor of a stopping owner is let past the hold. A member outside its
+own view of the group, an empty or wiped one, never votes and never stands.
+"""
+
+import mothshed.common.constants as constants
+
+
+class Election:
+    def start_election(self):
+        self.votes = set()
+        self.trial = False
+        self.handing = ""
+        self.handed = False
+        self.woken = self.desk.now()   # last vote given or asked for
+        self.pick_patience()
+
+    def pick_patience(self):
+        self.patience = constants.ELECT_LOW + self.desk.random.random() * constants.ELECT_SPAN
+
+    def tick(self):
+        if self.chart.state == "stopped":
+            return
+        self.guard(self.work)()
+        self.desk.beat(constants.HEART_BEAT, self.tick)
+
+    def work(self):
+        now = self.desk.now()
+        if self.owns:
+            self.keep_owning(now)
+        elif self.chart.state in ("follower", "candidate"):
+            if now - max(self.heard, self.woken) > self.patience:
+                self.stand(trial=True)
+        self.keep_joining(now)
+
+    def stand(self, trial, handed=False):
+        self.woken = self.desk.now()
+        self.pick_patience()
+        self.trial, self.handed = trial, handed
+        self.votes = {self.who}
+        self.chart.step("stand")
+        self.owner = ""
+        if not trial:
+            self.log.put_term(self.log.term + 1, self.who)
+        for m in self.others():
+            self.tell(m, "vote_ask", term=self.log.term + (1 if trial else 0), last=self.log.last,
+                      last_term=self.log.last_term, trial=trial, handed=handed)
+        self.count_votes()
+
+    def on_vote_ask(self, sender, body):
+        now = self.desk.now()
+        if self.who not in self.members:
+            return
+        if not body["handed"] and (self.owns or now - self.heard < constants.VOTE_HOLD):
+            return
+        if body["term"] > self.log.term and not body["trial"]:
+            self.take_term(body["term"])
+        fresh = (body["last_term"], body["last"]) >= (self.log.last_term, self.log.last)
+        if body["trial"]:
+            good = body["term"] > self.log.term and fresh
+        else:
+            good = body["term"] == self.log.term and fresh and self.log.vote in ("", body["who"])
+            if good:
+                self.log.put_term(self.log.term, body["who"])
+                self.woken = now
+        self.where[body["who"]] = sender
+        self.tell(body["who"], "vote_say", term=self.log.term, granted=good, trial=body["trial"])
+
+    def on_vote_say(self, sender, body):
+        if body["term"] > self.log.term:
+            self.take_term(body["term"])
+            return
+        if self.chart.state != "candidate" or body["trial"] != self.trial or not body["granted"]:
+            return
+        if not body["trial"] and body["term"] != self.log.term:
+            return
+        self.votes.add(body["who"])
+        self.count_votes()
+
+    def count_votes(self):
+        if len(self.votes & set(self.members)) < self.majority:
+            return
+        if self.trial:
+            self.stand(trial=False)
+        else:
+            self.win()
+
+    def win(self):
+        self.chart.step("win")
+        self.owner, self.owner_http = self.who, self.http
+        self.won_at = self.desk.now()
+        self.start_replication()
+        self.ready = False
+        self.propose({"op": "begin", "who": self.who}, self.begun)
+
+    def begun(self, result):
+        """Own first entry committed: all earlier ones are known, duties may start."""
+        if result is not None and self.owns:
+            self.ready = True
+            for duty in self.duties:
+                duty.start()
+
+    def take_term(self, term):
+        was = self.owns
+        self.log.put_term(term, "")
+        self.step_back(was)
+
+    def step_back(self, was):
+        self.chart.step("follow")
+        self.handing = ""
+        if was:
+            self.owner = ""
+            self.lose()
+
+    def follow(self, body, sender):
+        """A valid owner's record: obey it."""
+        if body["term"] > self.log.term:
+            self.take_term(body["term"])
+        elif self.chart.state in ("candidate", "empty"):
+            self.step_back(False)
+        self.owner = body["who"]
+        self.where[body["who"]] = sender
+        self.heard = self.desk.now()
+
+    def hand_over(self):
+        """Names the fullest other member as successor and stops taking writes."""
+        if not self.owns:
+            return False
+        ready = [m for m in self.others() if self.match.get(m, 0) == self.log.last]
+        if not ready:
+            return False
+        self.handing = max(ready, key=lambda m: self.acked.get(m, 0))
+        self.tell(self.handing, "hand", term=self.log.term)
+        was = self.owns
+        self.chart.step("follow")
+        self.owner = ""
+        self.heard = self.desk.now()
+        if was:
+            self.lose()
+        return True
+
+    def on_hand(self, sender, body):
+        if body["term"] == self.log.term and self.chart.state == "follower":
+            self.stand(trial=False, handed=True)
--- /dev/null
+++ b/mothshed/control_plane/keeper.py
@@ -0,0 +1,91 @@
+"""A keeper process's parts: one member, on a mailbox of its own, for every part."""
+
+import secrets
+import threading
+
+import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
+import mothshed.common.front as front
+import mothshed.common.gossip as gossip
+import mothshed.common.journal as journal_module
+import mothshed.common.lease as lease_module
+import mothshed.common.replicas as replicas_module
+import mothshed.control_plane.config_part as config_part
+import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.control_plane.member as member_module
+import mothshed.control_plane.orders as orders
+import mothshed.control_plane.service_part as service_part
+
+
+def incarnation(disk, name, chance=lambda: secrets.token_hex(6)):
+    """This member's id: its name and a mark that a wiped folder does not have."""
+    text = disk.read("incarnation").decode()
+    if not text:
+        if any(n.startswith("part-") for n in disk.names()):
+            raise disk_module.DiskFault("logs without an incarnation: wipe the folder")
+        text = chance()
+        disk.put("incarnation", text.encode())
+    return f"{name}/{text}"
+
+
+class Keeper:
+    def __init__(self, desk, settings, new_desk, disk):
+        self.desk, self.settings = desk, settings
+        self.journal = journal_module.Journal(desk.now)
+        self.totals = self.journal.view(journal_module.Totals())
+        self.who = incarnation(disk, settings["name"])
+        self.replicas = replicas_module.Replicas(desk, settings["list_url"], self.journal)
+        self.gossip = gossip.Gossip(desk, settings["name"], "keep", settings["cell"], settings["seeds"], self.replicas)
+        self.lease = lease_module.Lease(desk, self.lease_goals)
+        self.members, self.duties = [], []
+        for part in range(constants.PARTS):
+            machine = service_part.ServiceMachine() if part else config_part.ConfigMachine()
+            seat = member_module.Member(new_desk(), disk, part, self.who, settings["http"],
+                                        settings["first_keepers"], machine, self.gossip.keepers)
+            duty = (orders.OrderDuty(seat, self.replicas, self.lease, self.journal) if part
+                    else config_part.ConfigDuty(seat))
+            self.members.append(seat)
+            self.duties.append(duty)
+
+    def lease_goals(self):
+        return [self.desk.address] + self.gossip.keepers()
+
+    def run(self):
+        self.replicas.run()
+        for seat in self.members:
+            seat.begin()
+
+    def front(self):
+        return front.Server(self.settings["http"], keeper_front.KeeperFront(self), constants.HTTP_THREADS)
+
+    def in_part(self, seat, call):
+        """Runs call() in a part's mailbox and waits for what it returns."""
+        gate, box = threading.Event(), []
+        seat.desk.post(lambda: (box.append(call()), gate.set()))
+        return box[0] if gate.wait(constants.COMMIT_WAIT) else None
+
+    def ask_part(self, seat, start):
+        """start(done) in a part's mailbox; waits for done(result). None: not known."""
+        gate, box = threading.Event(), []
+
+        def done(result):
+            box.append(result)
+            gate.set()
+        seat.desk.post(lambda: start(done))
+        return box[0] if gate.wait(constants.COMMIT_WAIT) else None
+
+    def drain(self):
+        """Hands every owned part to a successor; True if all were taken over."""
+        good = True
+        for seat in self.members:
+            good = bool(self.in_part(seat, lambda: not seat.owns or seat.hand_over())) and good
+        self.desk.pause(2 * constants.HEART_BEAT)
+        return good
+
+    def condition(self):
+        parts = [m.condition() for m in self.members]
+        for row, duty in zip(parts, self.duties):
+            row.update(duty.report())
+        return {"name": self.settings["name"], "who": self.who, "parts": parts,
+                "keepers": self.gossip.keepers(), "neighbours": sorted(self.gossip.view),
+                "serving": all(p["state"] in ("owner", "follower") and p["owner"] for p in parts)}
--- /dev/null
+++ b/mothshed/control_plane/member.py
@@ -0,0 +1,154 @@
+"""One member of one part's group: the log it keeps, its state, what it applies.
+
+A Member runs on a desk, one callback at a time. The chart `member.json` says
+which states may follow which. Election, replication and joining are three files
+mixed in here; this one holds what they share: the effective membership, applying
+committed entries to the part's machine, snapshots, and the owner's confirmed
+reads. A disk that fails to sync stops the member: it no longer knows what it has.
+"""
+
+import mothshed.common.charts as charts
+import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
+import mothshed.common.disk_log as disk_log
+import mothshed.common.ring as ring
+import mothshed.control_plane.election as election
+import mothshed.control_plane.joining as joining
+import mothshed.control_plane.replication as replication
+
+
+class Member(election.Election, replication.Replication, joining.Joining):
+    def __init__(self, desk, disk, part, who, http, first, machine, known=lambda: []):
+        self.desk, self.part, self.who, self.http = desk, part, who, http
+        self.address = desk.address
+        self.first = list(first)
+        self.known = known              # addresses of keepers from hints
+        self.machine = machine          # apply(index, command), dump(), restore(state)
+        self.duties = []                # start() when owner, stop() when not
+        self.log = disk_log.PartLog(disk, part)
+        self.chart = charts.load("member")
+        self.owner, self.owner_http = "", ""
+        self.commit = self.applied = 0
+        self.where = {}                 # id -> address heard of lately
+        self.waits = {}                 # index -> (term, call)
+        self.heard = desk.now()         # also after a start: an old promise may still hold
+        self.members = {}
+        if self.log.snap:
+            machine.restore(self.log.snap["state"])
+            self.commit = self.applied = self.log.snap["index"]
+        self.start_election()
+        self.start_replication()
+        self.start_joining()
+        self.read_members()
+        if self.members:
+            self.chart.step("birth")
+            if self.who not in self.members:
+                self.chart.step("learn")
+
+    def begin(self):
+        for kind in ("vote_ask", "vote_say", "append", "append_say", "snap", "hand",
+                     "born_ask", "born_say", "join_ask"):
+            self.desk.hear(kind, self.guard(getattr(self, "on_" + kind)), self.part)
+        self.desk.post(self.tick)
+
+    def guard(self, call):
+        def run(*args):
+            if self.chart.state == "stopped":
+                return
+            try:
+                call(*args)
+            except disk_module.DiskFault as e:
+                ring.trouble("disk_fault", e, part=self.part)
+                self.stop()
+        return run
+
+    @property
+    def owns(self):
+        return self.chart.state == "owner"
+
+    @property
+    def majority(self):
+        return len(self.members) // 2 + 1
+
+    def read_members(self):
+        """The latest members entry in the log counts, committed or not."""
+        members, at = {}, 0
+        if self.log.snap:
+            members, at = self.log.snap["members"], self.log.snap["index"]
+        for body in reversed(self.log.entries):
+            if body["c"].get("op") == "members" and body["i"] > at:
+                members, at = body["c"]["members"], body["i"]
+                break
+        self.members, self.members_at = members, at
+        if members and self.chart.state not in ("empty", "stopped"):
+            self.chart.step("admit" if self.who in members else "learn")
+
+    def place_of(self, who):
+        if who in self.where:
+            return self.where[who]
+        return self.members.get(who, {}).get("address", "")
+
+    def others(self):
+        return [m for m in self.members if m != self.who]
+
+    def tell(self, who, kind, **body):
+        self.desk.tell(self.place_of(who), kind, part=self.part, who=self.who, **body)
+
+    def propose(self, command, call=lambda result: None):
+        """call(result) once committed and applied; call(None): not known, read back."""
+        if not self.owns:
+            call(None)
+            return
+        index = self.log.last + 1
+        self.log.put([{"i": index, "t": self.log.term, "c": command}])
+        self.waits[index] = (self.log.term, call)
+        if command.get("op") == "members":
+            self.read_members()
+        self.count_commit()
+        self.spread()
+
+    def apply_all(self):
+        while self.applied < self.commit:
+            self.applied += 1
+            body = self.log.get(self.applied)
+            result = self.machine.apply(self.applied, body["c"])
+            term, call = self.waits.pop(self.applied, (None, None))
+            if call:
+                call(result if term == body["t"] else None)
+        if self.applied - (self.log.snap["index"] if self.log.snap else 0) >= constants.SNAP_EVERY:
+            self.snap()
+
+    def members_until(self, index):
+        members = self.log.snap["members"] if self.log.snap else {}
+        for body in self.log.entries:
+            if body["i"] <= index and body["c"].get("op") == "members":
+                members = body["c"]["members"]
+        return members
+
+    def snap(self):
+        snap = {"index": self.applied, "term": self.log.term_at(self.applied),
+                "members": self.members_until(self.applied), "state": self.machine.dump()}
+        keep = max(self.log.base, self.applied - constants.KEEP_BEHIND)
+        self.log.put_snap(snap, keep)
+
+    def lose(self):
+        """No longer owner: waiting writes are unknown, waiting reads fail."""
+        waits, self.waits = self.waits, {}
+        for term, call in waits.values():
+            call(None)
+        self.fail_confirms()
+        for duty in self.duties:
+            duty.stop()
+
+    def stop(self):
+        if self.chart.state == "stopped":
+            return
+        was = self.owns
+        self.chart.step("stop")
+        if was:
+            self.lose()
+
+    def condition(self):
+        return {"part": self.part, "state": self.chart.state, "term": self.log.term,
+                "owner": self.owner, "commit": self.commit, "last": self.log.last,
+                "members": sorted(self.members)}
--- /dev/null
+++ b/mothshed/control_plane/orders.py
@@ -0,0 +1,108 @@
+"""Orders to replicas: roles, by the part's holder only.
+
+The duty runs on the owner of a service part. It takes the seat (one log entry,
+standing one higher), keeps silent for TURN_GAP, and then on every beat compares
+what replicas report with what the part has agreed, plans the split, commits
+changed roles and sends what is missing, each send under a sure majority, checked
+right before it.
+"""
+
+import mothshed.common.constants as constants
+import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.web as web
+import mothshed.control_plane.service_part as service_part
+
+
+def part_of(service, parts=constants.PARTS):
+    """The part that keeps a service: never 0, which holds the configuration.
+
+    >>> part_of("shift-notes") in range(1, constants.PARTS)
+    True
+    """
+    total = 0
+    for byte in service.encode():
+        total = (total * 257 + byte + 1) % 1000003
+    return 1 + total % (parts - 1)
+
+
+class OrderDuty:
+    def __init__(self, member, replicas, lease, journal):
+        self.member, self.machine, self.desk = member, member.machine, member.desk
+        self.replicas, self.lease, self.journal = replicas, lease, journal
+        self.split = {}         # pool name -> Split
+        self.on = False
+        self.standing, self.from_then = 0, 0.0
+        self.busy = set()       # replicas with an order under way
+        member.duties.append(self)
+
+    def start(self):
+        self.on, self.standing, self.split = True, 0, {}
+        self.member.propose({"op": "take", "who": self.member.who}, self.taken)
+
+    def taken(self, result):
+        if result and self.on:
+            self.standing = result["standing"]
+            self.from_then = self.desk.now() + constants.TURN_GAP
+            self.desk.beat(constants.TURN_GAP, self.tick)
+
+    def stop(self):
+        self.on, self.standing = False, 0
+
+    def may(self, standing):
+        return (self.on and standing and standing == self.standing == self.machine.standing
+                and self.desk.now() >= self.from_then and self.member.sure())
+
+    def tick(self):
+        if not self.on:
+            return
+        document = self.lease.document()
+        if self.may(self.standing) and document and self.lease.sequence():
+            self.look(document)
+        self.desk.beat(constants.ORDER_BEAT, self.tick)
+
+    def ours(self, selector):
+        return {n: c for n, c in self.replicas.usable(selector).items()
+                if part_of(self.replicas.rows[n]["service"]) == self.member.part}
+
+    def look(self, document):
+        wanted = {}
+        for name, pool in sorted(document["pools"].items()):
+            found = self.ours(pool["selector"])
+            found = {n: c for n, c in found.items() if n not in wanted}
+            split = self.split.setdefault(name, service_part.Split(self.desk.now))
+            usage = {n: (c["run"], c["wait"], c["slots"]) for n, c in found.items()}
+            wanted.update(split.plan(pool, usage, self.machine.roles))
+        gone = [n for n in self.machine.roles if n not in self.replicas.rows]
+        new = {n: r for n, r in wanted.items() if self.machine.roles.get(n) != r}
+        if new or gone:
+            self.member.propose({"op": "roles", "standing": self.standing, "roles": new, "gone": gone})
+            return                      # sent on a later beat, once agreed
+        for name in wanted:
+            seen = self.replicas.conditions.get(name)
+            if seen and seen["c"]["role"] != self.machine.roles[name] and name not in self.busy:
+                self.order(name, self.machine.roles[name])
+
+    def order(self, name, role):
+        row = self.replicas.rows.get(name)
+        standing, sequence = self.standing, self.lease.sequence()
+        if not row or sequence is None:
+            return
+        self.busy.add(name)
+        self.replicas.pool.submit(self.send, name, row["url"], role, standing, sequence)
+
+    def send(self, name, url, role, standing, sequence):
+        good = False
+        try:
+            if self.may(standing) and self.lease.sequence() == sequence:
+                good = replica_adapter.order_role(self.desk, url, role, standing, self.member.who, sequence)
+        except web.WebFault:
+            pass
+        finally:
+            self.busy.discard(name)
+            self.journal.add("order", outcome="taken" if good else "failed", replica=name, role=role)
+            seen = self.replicas.conditions.get(name)
+            if good and seen:
+                seen["c"] = {**seen["c"], "role": role}
+
+    def report(self):
+        return {"holder": self.machine.holder, "standing": self.machine.standing, "roles": self.machine.roles}
--- /dev/null
+++ b/mothshed/control_plane/service_part.py
@@ -0,0 +1,98 @@
+"""A service part: who may order its replicas, and which role each one has.
+
+The owner of the part takes the holder's seat with one log entry, which raises
+the standing by one; orders carry that standing and a replica refuses a lower
+one. A new holder gives no order until TURN_GAP after its seat was committed, and
+an old one none once it is no longer sure of its majority, so two holders never
+take turns within the brief's three seconds.
+"""
+
+import mothshed.common.constants as constants
+
+
+class ServiceMachine:
+    def __init__(self):
+        self.holder, self.standing = "", 0
+        self.roles = {}         # replica name -> role
+
+    def apply(self, index, command):
+        if command["op"] == "take":
+            self.holder, self.standing = command["who"], self.standing + 1
+            return {"standing": self.standing}
+        if command["op"] == "roles" and command["standing"] == self.standing:
+            self.roles.update(command["roles"])
+            for name in command["gone"]:
+                self.roles.pop(name, None)
+            return {"roles": len(self.roles)}
+        return {"ignored": True}
+
+    def dump(self):
+        return {"holder": self.holder, "standing": self.standing, "roles": self.roles}
+
+    def restore(self, state):
+        self.holder, self.standing, self.roles = state["holder"], state["standing"], dict(state["roles"])
+
+
+def bounds(pool, count):
+    """How many prefill replicas a pool of this size may have: least and most.
+
+    >>> bounds({"least_prefill": 1, "least_decode": 2}, 5)
+    (1, 3)
+    >>> bounds({"least_prefill": 1, "least_decode": 1}, 1)
+    (0, 1)
+    """
+    low = min(pool["least_prefill"], count)
+    high = max(0, count - pool["least_decode"])
+    return (low, high) if low <= high else (min(low, high), max(low, high))
+
+
+class Split:
+    """Decides roles: fills new replicas in, and shifts one at a time with hysteresis."""
+
+    def __init__(self, now):
+        self.now = now
+        self.shifted_at = -1e9
+        self.lean, self.agreed = 0, 0
+
+    def plan(self, pool, usage, roles):
+        """usage: name -> (running, waiting, slots). Returns name -> role, all of them."""
+        names = sorted(usage)
+        roles = {n: roles[n] for n in names if n in roles}
+        low, high = bounds(pool, len(names))
+        want = min(high, max(low, round(pool["prefill_share"] * len(names))))
+        count = sum(r == "prefill" for r in roles.values())
+        for n in names:
+            if n not in roles:
+                roles[n] = "prefill" if count < want else "decode"
+                count += roles[n] == "prefill"
+        if count < low or count > high:
+            return self.move(roles, usage, "prefill" if count < low else "decode")
+        lean = self.pressure_lean(roles, usage) if pool["shift"] else 0
+        self.agreed = self.agreed + 1 if lean and lean == self.lean else int(lean != 0)
+        self.lean = lean
+        ready = self.agreed >= constants.SHIFT_AGREE and self.now() - self.shifted_at > constants.SHIFT_HOLD
+        if ready and (lean > 0 and count < high or lean < 0 and count > low):
+            self.shifted_at, self.agreed = self.now(), 0
+            return self.move(roles, usage, "prefill" if lean > 0 else "decode")
+        return roles
+
+    def move(self, roles, usage, role):
+        givers = [n for n in roles if roles[n] != role]
+        if givers:
+            pick = min(givers, key=lambda n: (usage[n][0] + usage[n][1], n))
+            roles[pick] = role
+        return roles
+
+    def pressure_lean(self, roles, usage):
+        """+1: prefill is the tighter side, -1: decode, 0: neither."""
+        side = {"prefill": [0, 0], "decode": [0, 0]}
+        for n, role in roles.items():
+            run, wait, slots = usage[n]
+            side[role][0] += run + 2 * wait
+            side[role][1] += slots
+        press = {r: busy / slots if slots else 0.0 for r, (busy, slots) in side.items()}
+        if press["prefill"] > 0.7 and press["prefill"] > constants.SHIFT_UP * press["decode"]:
+            return 1
+        if press["decode"] > 0.7 and press["decode"] > constants.SHIFT_UP * press["prefill"]:
+            return -1
+        return 0
--- /dev/null
+++ b/mothshed/data_plane/__init__.py
@@ -0,0 +1,1 @@
+"""The data_plane library of mothshed; docs/design.md says what belongs here."""
--- /dev/null
+++ b/mothshed/data_plane/admission.py
@@ -0,0 +1,87 @@
+"""Admission: a fair queue per tenant in front of the replicas' places.
+
+A request is planned at once when nobody waits; else it waits in its tenant's
+queue. The next to be served is the waiting tenant with the least service for its
+share, so one tenant's rush waits behind its own. The wait is short and bounded;
+past it, or past the queue's bounds, the request is bounced at once.
+"""
+
+import collections
+import threading
+
+import mothshed.common.constants as constants
+import mothshed.common.verdict as verdict
+
+
+class Ticket:
+    def __init__(self, tenant, share, gate):
+        self.tenant, self.share, self.gate = tenant, share, gate
+
+
+class Admission:
+    def __init__(self, desk):
+        self.desk = desk
+        self.lock = threading.RLock()
+        self.queues = collections.OrderedDict()     # tenant -> deque of tickets
+        self.spent = {}                             # tenant -> service taken per share
+        self.floor = 0.0
+
+    def waiting(self):
+        return sum(len(q) for q in self.queues.values())
+
+    def enter(self, request, share, attempt_plan):
+        """Waits for attempt_plan() to give a plan while at the head. Raises Bounce."""
+        with self.lock:
+            if not self.waiting():
+                plan = self.take(request.tenant, share, attempt_plan)
+                if plan:
+                    return plan
+            queue = self.queues.setdefault(request.tenant, collections.deque())
+            if self.waiting() >= constants.QUEUE_MOST or len(queue) >= constants.QUEUE_TENANT:
+                raise verdict.Bounce(503, "queue is full", constants.RETRY_AFTER)
+            ticket = Ticket(request.tenant, share, self.desk.gate())
+            queue.append(ticket)
+        try:
+            return self.wait(request, ticket, attempt_plan)
+        finally:
+            with self.lock:
+                queue = self.queues.get(request.tenant, ())
+                if ticket in queue:
+                    queue.remove(ticket)
+                if not queue:
+                    self.queues.pop(request.tenant, None)
+            self.nudge()
+
+    def wait(self, request, ticket, attempt_plan):
+        until = min(request.born + constants.QUEUE_WAIT, request.cutoff)
+        while True:
+            with self.lock:
+                if self.head() is ticket:
+                    plan = self.take(ticket.tenant, ticket.share, attempt_plan)
+                    if plan:
+                        return plan
+            if self.desk.now() >= until:
+                raise verdict.Bounce(503, "no free pair of replicas", constants.RETRY_AFTER)
+            ticket.gate.clear()
+            ticket.gate.wait(min(constants.PLACE_BEAT, max(0.001, until - self.desk.now())))
+
+    def head(self):
+        tenants = [t for t, q in self.queues.items() if q]
+        if not tenants:
+            return None
+        return self.queues[min(tenants, key=lambda t: (max(self.floor, self.spent.get(t, 0.0)), t))][0]
+
+    def take(self, tenant, share, attempt_plan):
+        plan = attempt_plan()
+        if plan:
+            start = max(self.floor, self.spent.get(tenant, 0.0))
+            self.spent[tenant] = start + 1.0 / share
+            self.floor = start if self.waiting() else max(self.spent.values())
+        return plan
+
+    def nudge(self):
+        """Something became free: the head may look again."""
+        with self.lock:
+            ticket = self.head()
+            if ticket:
+                ticket.gate.set()
--- /dev/null
+++ b/mothshed/data_plane/router.py
@@ -0,0 +1,68 @@
+"""A router process's parts, put together: what a request needs on its way."""
+
+import threading
+
+import mothshed.common.constants as constants
+import mothshed.common.front as front
+import mothshed.common.gossip as gossip
+import mothshed.common.journal as journal_module
+import mothshed.common.lease as lease_module
+import mothshed.common.replicas as replicas_module
+import mothshed.data_plane.admission as admission
+import mothshed.data_plane.budget as budget
+import mothshed.data_plane.frees as frees
+import mothshed.data_plane.router_front as router_front
+
+
+class Router:
+    def __init__(self, desk, settings):
+        self.desk, self.settings = desk, settings
+        self.cell = settings["cell"]
+        self.journal = journal_module.Journal(desk.now)
+        self.totals = self.journal.view(journal_module.Totals())
+        self.replicas = replicas_module.Replicas(desk, settings["list_url"], self.journal)
+        self.gossip = gossip.Gossip(desk, settings["name"], "route", self.cell, settings["seeds"], self.replicas)
+        self.lease = lease_module.Lease(desk, self.gossip.keepers)
+        self.admission = admission.Admission(desk)
+        self.budget = budget.Budget(desk.now)
+        self.frees = frees.Frees(desk, self.journal)
+        self.flight = 0
+        self.stopping = False
+        self.lock = threading.Lock()
+
+    def run(self):
+        self.replicas.run()
+        self.desk.spawn(self.frees.run)
+
+    def enter(self):
+        with self.lock:
+            if self.stopping:
+                return False
+            self.flight += 1
+            return True
+
+    def leave(self):
+        with self.lock:
+            self.flight -= 1
+
+    def drain(self, most):
+        """Takes nothing new; True once nothing is in flight and no free is left."""
+        with self.lock:
+            self.stopping = True
+        until = self.desk.now() + most
+        while self.desk.now() < until:
+            if self.flight <= 0 and not self.frees.left():
+                return True
+            self.desk.pause(constants.PLACE_BEAT)
+        return False
+
+    def condition(self):
+        sequence = self.lease.sequence()
+        return {"name": self.settings["name"], "serving": sequence is not None and not self.stopping,
+                "sequence": sequence, "active": self.lease.active, "staged": self.lease.staged,
+                "flight": self.flight, "waiting": self.admission.waiting(), "frees_left": self.frees.left(),
+                "neighbours": sorted(self.gossip.view), "replicas": sorted(self.replicas.usable({})),
+                "leaving": sorted(self.replicas.leaving)}
+
+    def front(self):
+        return front.Server(self.settings["http"], router_front.RouterFront(self), constants.FRONT_THREADS)
--- /dev/null
+++ b/mothshed/data_plane/router_front.py
@@ -0,0 +1,152 @@
+"""The router's HTTP front: completions, condition, metrics.
+
+Every answer that is not a success says in JSON whether the request may have run.
+A stream's status goes out only with its first token, so that failures before it
+still get a status of their own.
+"""
+
+import json
+import time
+
+import mothshed.common.constants as constants
+import mothshed.common.front as front
+import mothshed.common.ring as ring
+import mothshed.common.verdict as verdict
+import mothshed.data_plane.carry as carry
+import mothshed.data_plane.intake as intake
+
+
+class RouterFront:
+    def __init__(self, router):
+        self.router = router
+
+    def __call__(self, environ, start):
+        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        if path in intake.PATHS:
+            if method != "POST":
+                return front.fault(start, 405, "use POST", headers=[("Allow", "POST")])
+            return self.complete(path, environ, start)
+        pages = {"/condition": self.condition, "/metrics": self.metrics}
+        if path in pages:
+            if method != "GET":
+                return front.fault(start, 405, "use GET", headers=[("Allow", "GET")])
+            return pages[path](start)
+        return front.fault(start, 404, f"no such path {path}")
+
+    def condition(self, start):
+        said = self.router.condition()
+        return front.answer(start, 200 if said["serving"] else 503, said)
+
+    def metrics(self, start):
+        return front.answer(start, 200, self.router.totals.text().encode())
+
+    def complete(self, path, environ, start):
+        router = self.router
+        headers = front.headers_of(environ)
+        if not router.enter():
+            return front.fault(start, 503, "this router is stopping", retry=constants.RETRY_AFTER,
+                               headers=[("Connection", "close")])
+        try:
+            request = self.read(path, environ, headers)
+            run = carry.Carry(router, request).run()
+            first = next(run)
+        except BaseException as e:
+            router.leave()
+            return self.failed(start, e, headers)
+        if request.stream:
+            start(front.line(200), [("Content-Type", "text/event-stream"), ("X-Request-Id", request.id)])
+            return Events(router, request, first, run)
+        try:
+            rows = [first, *run]
+        except BaseException as e:
+            return self.failed(start, e, headers)
+        finally:
+            router.leave()
+        router.journal.add("request", outcome="done")
+        return front.answer(start, 200, whole(request, rows), [("X-Request-Id", request.id)])
+
+    def read(self, path, environ, headers):
+        document = self.router.lease.document()
+        if document is None:
+            raise verdict.Bounce(503, "no configuration yet", constants.RETRY_AFTER)
+        return intake.parse(self.router.desk.now(), path, headers, front.body_of(environ), document)
+
+    def failed(self, start, e, headers):
+        name = headers.get("x-request-id", "")
+        extra = [("X-Request-Id", name)] if intake.ID.match(name) else []
+        add = self.router.journal.add
+        if isinstance(e, front.TooLarge):
+            add("request", outcome="invalid")
+            return front.fault(start, 413, f"body is over {constants.BODY_MOST} bytes",
+                               headers=extra + [("Connection", "close")])
+        if isinstance(e, verdict.Bounce):
+            add("request", outcome="bounced" if e.status == 503 else "invalid")
+            return front.fault(start, e.status, e.reason, retry=e.retry, headers=extra)
+        if isinstance(e, verdict.RequestFailure):
+            add("request", outcome="failed")
+            late = any(f.reason == "cutoff passed" or "Timeout" in f.reason for f in e.exceptions)
+            return front.fault(start, 504 if late else 502, "; ".join(str(f) for f in e.exceptions),
+                               verdict="may_have_run", headers=extra)
+        if not isinstance(e, Exception):
+            raise e
+        ring.trouble("request_crashed", e)
+        add("request", outcome="crashed")
+        return front.fault(start, 500, "internal fault", verdict="may_have_run", headers=extra)
+
+
+def chunk_of(request, text, finish, made):
+    if request.path == "/v1/chat/completions":
+        choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
+        kind = "chat.completion.chunk"
+    else:
+        choice, kind = {"index": 0, "text": text, "finish_reason": finish}, "text_completion"
+    return {"id": f"cmpl-{request.id}", "object": kind, "created": made, "model": request.body["model"],
+            "choices": [choice]}
+
+
+def whole(request, rows):
+    text, finish = "".join(t for t, f in rows), rows[-1][1]
+    said = chunk_of(request, text, finish, int(time.time()))
+    if request.path == "/v1/chat/completions":
+        said["object"] = "chat.completion"
+        said["choices"] = [{"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": finish}]
+    said["usage"] = {"completion_tokens": len(rows)}
+    return said
+
+
+class Events:
+    """The body of a streamed answer. Raising in it breaks the stream visibly."""
+
+    def __init__(self, router, request, first, run):
+        self.router, self.request, self.run = router, request, run
+        self.rows = self.events(first)
+        self.open = True
+        self.outcome = "left"
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        return next(self.rows)
+
+    def events(self, first):
+        made = int(time.time())
+        try:
+            yield self.pack(first, made)
+            for row in self.run:
+                yield self.pack(row, made)
+            yield b"data: [DONE]\n\n"
+        except verdict.StreamBroken:
+            self.outcome = "broken"
+            raise
+        self.outcome = "done"
+
+    def pack(self, row, made):
+        return b"data: " + json.dumps(chunk_of(self.request, *row, made)).encode() + b"\n\n"
+
+    def close(self):
+        if self.open:
+            self.open = False
+            self.run.close()
+            self.router.leave()
+            self.router.journal.add("request", outcome=self.outcome)
--- /dev/null
+++ b/mothshed/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs library of mothshed; docs/design.md says what belongs here."""
--- /dev/null
+++ b/mothshed/programs/ask.py
@@ -0,0 +1,58 @@
+"""Asking keepers over HTTP on the operator's behalf; follows 307 to the owner."""
+
+import time
+
+import urllib3
+
+import mothshed.common.web as web
+
+TRIES = 12          # over all addresses; an election takes a second or two
+PAUSE = 0.4         # s between two rounds over the addresses
+WAIT = 5.0          # s for one answer
+
+
+def one(pool, method, url, body):
+    for hop in range(4):
+        status, said, goal = once(pool, method, url, body)
+        if status != 307:
+            return status, said
+        url = goal
+    return 503, {"error": {"message": "sent round in circles", "verdict": "not_run"}}
+
+
+def once(pool, method, url, body):
+    response = pool.request(method, url, json=body, redirect=False, retries=False,
+                            timeout=urllib3.Timeout(connect=1.0, read=WAIT))
+    return response.status, response.json(), response.headers.get("location")
+
+
+def any_of(addresses, method, path, body=None):
+    """(status, answer) of the first address that answers other than 503."""
+    pool, last = urllib3.PoolManager(), (503, {"error": {"message": "no address answered", "verdict": "not_run"}})
+    for turn in range(TRIES):
+        try:
+            last = one(pool, method, f"http://{addresses[turn % len(addresses)]}{path}", body)
+            if last[0] != 503:
+                return last
+        except web.FAULTS as e:
+            last = (503, {"error": {"message": f"{type(e).__name__}: {e}", "verdict": "may_have_run"}})
+        if turn % len(addresses) == len(addresses) - 1:
+            time.sleep(PAUSE)
+    return last
+
+
+def apply(keepers, base, document, by, mark):
+    """(exit code, answer). Sending the same id again is safe: it is accepted once."""
+    body = {"base": base, "document": document, "by": by, "id": mark}
+    status, said = 0, {}
+    for turn in range(3):
+        status, said = any_of(keepers, "PUT", "/configuration", body)
+        if status not in (503, 504):
+            break
+    if status in (503, 504):
+        seen, past = any_of(keepers, "GET", "/configuration/history")
+        for row in past.get("rows", []) if seen == 200 else []:
+            if row["id"] == mark:
+                return 0, {"sequence": row["sequence"], "id": mark}
+        return (6 if said.get("error", {}).get("verdict") == "may_have_run" else 1), said
+    return {200: 0, 409: 5, 400: 2}.get(status, 1), said
--- /dev/null
+++ b/mothshed/programs/keep.py
@@ -0,0 +1,32 @@
+"""mothshed-keep: the keeper daemon, on machines with a disk."""
+
+import dataclasses
+
+import cappa
+
+import mothshed.common.disk as disk_module
+import mothshed.control_plane.keeper as keeper_module
+import mothshed.programs.process as process
+
+
+@cappa.command(name="mothshed-keep", help="Keeps the agreed state: configuration and who orders which replica. "
+               "Example: mothshed-keep --settings keep.json --data /var/lib/mothshed")
+@dataclasses.dataclass
+class Keep(process.Place):
+    def __call__(self):
+        settings = process.load(self, keeper=True)
+        make = process.desks(settings)
+        try:
+            keeper = keeper_module.Keeper(make(), settings, make, disk_module.Disk(settings["data"]))
+        except disk_module.DiskFault as e:
+            raise cappa.Exit(f"data folder is not usable: {e}", code=4) from e
+        keeper.run()
+        process.serve(keeper.front(), keeper.drain)
+
+
+def main():
+    cappa.invoke(Keep)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mothshed/programs/operate.py
@@ -0,0 +1,133 @@
+"""mothshed: the operator's command line.
+
+Exit codes: 0 done; 1 the system answered no or not at all; 2 bad input;
+5 somebody else's document came first (409); 6 not known, read the history.
+"""
+
+import dataclasses
+import json
+import pathlib
+import secrets
+import typing
+
+import cappa
+
+import mothshed.common.configuration as configuration
+import mothshed.programs.ask as ask
+
+Keepers = typing.Annotated[typing.List[str], cappa.Arg(
+    long="--keeper", required=True, help="ip:port of a keeper's HTTP front; may be given several times")]
+
+
+def show(body):
+    print(json.dumps(body, indent=2))
+
+
+def document_of(path):
+    try:
+        return json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as e:
+        raise cappa.Exit(f"{path}: {e}", code=2) from e
+
+
+@cappa.command(name="check", help="Checks a configuration document and lists every fault; changes nothing.")
+@dataclasses.dataclass
+class Check:
+    file: str
+
+    def __call__(self):
+        found = configuration.faults(document_of(self.file))
+        if found:
+            raise cappa.Exit("\n".join(found), code=2)
+        print("valid")
+
+
+@cappa.command(name="apply", help="Applies a whole document over the sequence you read it from.")
+@dataclasses.dataclass
+class Apply:
+    file: str
+    base: typing.Annotated[int, cappa.Arg(long=True, help="the sequence your document was made from; 0 for the first")]
+    keeper: Keepers
+    by: typing.Annotated[str, cappa.Arg(long=True, help="who applies it")] = ""
+
+    def __call__(self):
+        document = document_of(self.file)
+        found = configuration.faults(document)
+        if found:
+            raise cappa.Exit("nothing was applied:\n" + "\n".join(found), code=2)
+        code, said = ask.apply(self.keeper, self.base, document, self.by, secrets.token_hex(8))
+        show(said)
+        if code:
+            raise cappa.Exit(code=code)
+
+
+@cappa.command(name="show", help="Shows the active and the latest document and who has acknowledged it.")
+@dataclasses.dataclass
+class Show:
+    keeper: Keepers
+
+    def __call__(self):
+        read(self.keeper, "/configuration")
+
+
+@cappa.command(name="history", help="Shows the accepted documents, oldest first.")
+@dataclasses.dataclass
+class History:
+    keeper: Keepers
+
+    def __call__(self):
+        read(self.keeper, "/configuration/history")
+
+
+def read(keepers, path):
+    status, said = ask.any_of(keepers, "GET", path)
+    show(said)
+    if status != 200:
+        raise cappa.Exit(code=1)
+
+
+@cappa.command(name="config", help="The configuration: check, apply, show, history.")
+@dataclasses.dataclass
+class Config:
+    command: cappa.Subcommands[typing.Union[Check, Apply, Show, History]]
+
+
+@cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
+@dataclasses.dataclass
+class Condition:
+    address: str
+
+    def __call__(self):
+        status, said = ask.any_of([self.address], "GET", "/condition")
+        show(said)
+        if status != 200:
+            raise cappa.Exit(code=1)
+
+
+@cappa.command(name="fleet", help="Starts a whole fleet on this machine, runs a bounded load, prints a report.")
+@dataclasses.dataclass
+class Fleet:
+    deployment: typing.Annotated[str, cappa.Arg(long=True, help="patinetes or tesfaye")] = "patinetes"
+    seconds: typing.Annotated[float, cappa.Arg(long=True, help="length of the load")] = 20.0
+    rate: typing.Annotated[float, cappa.Arg(long=True, help="requests a second; 0: the deployment's own")] = 0.0
+    faults: typing.Annotated[str, cappa.Arg(long=True, help="e.g. 4:kill_router,7:kill_owner,10:crash_replica,13:config")] = ""
+    folder: typing.Annotated[str, cappa.Arg(long=True, help="where to write; a temporary folder if empty")] = ""
+    seed: typing.Annotated[int, cappa.Arg(long=True, help="seed of the load")] = 1
+
+    def __call__(self):
+        import tools.fleet_run as fleet_run     # a tool, only needed here
+        raise cappa.Exit(code=fleet_run.main(self))
+
+
+@cappa.command(name="mothshed", help="Operates a mothshed fleet.")
+@dataclasses.dataclass
+class Mothshed:
+    command: cappa.Subcommands[typing.Union[Config, Condition, Fleet]]
+
+
+def main():
+    cappa.invoke(Mothshed)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mothshed/programs/process.py
@@ -0,0 +1,74 @@
+"""What both daemons share: settings from file and flags, signals, the long wait."""
+
+import dataclasses
+import signal
+import sys
+import threading
+import typing
+
+import cappa
+
+import mothshed.common.peers as peers
+import mothshed.common.ring as ring
+import mothshed.common.settings as settings_module
+import mothshed.common.world as world
+
+Flag = typing.Optional[str]
+
+
+@dataclasses.dataclass
+class Place:
+    """Flags every daemon takes; each stands over the settings file's entry."""
+    settings: typing.Annotated[Flag, cappa.Arg(long=True, help="settings file (JSON)")] = None
+    name: typing.Annotated[Flag, cappa.Arg(long=True, help="this process's name")] = None
+    address: typing.Annotated[Flag, cappa.Arg(long=True, help="ip:port for the system's own processes")] = None
+    http: typing.Annotated[Flag, cappa.Arg(long=True, help="ip:port for HTTP")] = None
+    cell: typing.Annotated[Flag, cappa.Arg(long=True, help="zone this machine is in")] = None
+    list_url: typing.Annotated[Flag, cappa.Arg(long=True, help="URL of the platform's list of replicas")] = None
+    seeds: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="seed ip:port, up to three times")] = (
+        dataclasses.field(default_factory=list))
+    ring: typing.Annotated[Flag, cappa.Arg(long=True, help="file for the log ring when something goes wrong")] = None
+    data: typing.Annotated[Flag, cappa.Arg(long=True, help="data folder (keepers only)")] = None
+
+
+def load(args, keeper=False):
+    """The checked settings, or exit 2 with every fault named."""
+    flags = {k: v for k, v in dataclasses.asdict(args).items() if k != "settings"}
+    try:
+        found = settings_module.load(args.settings, flags, keeper)
+    except settings_module.SettingsFault as e:
+        raise cappa.Exit("settings are not valid:\n" + "\n".join(f"  {f}" for f in e.found), code=2) from e
+    ring.start(found["name"], found.get("ring"))
+    return found
+
+
+def desks(settings):
+    """A maker of desks that share one clock thread and one set of peers."""
+    beats = world.Beats()
+    try:
+        own = peers.Peers(settings["address"])
+    except OSError as e:
+        raise cappa.Exit(f"cannot listen on {settings['address']}: {e}", code=3) from e
+    return lambda: world.Desk(beats, own, settings["address"])
+
+
+def serve(server, stop):
+    """Serves until SIGTERM or SIGINT, then stop(); a second signal ends at once."""
+    asked = threading.Event()
+
+    def on_signal(number, frame):
+        if asked.is_set():
+            sys.exit(1)
+        asked.set()
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    try:
+        server.prepare()
+    except OSError as e:
+        raise cappa.Exit(f"cannot listen on {server.bind_addr}: {e}", code=3) from e
+    threading.Thread(target=server.serve, daemon=True).start()
+    asked.wait()
+    clean = stop()
+    server.stop()
+    sys.stdout.flush()
+    raise cappa.Exit(code=0 if clean else 1)
--- /dev/null
+++ b/mothshed/programs/route.py
@@ -0,0 +1,28 @@
+"""mothshed-route: the router daemon, on every machine."""
+
+import dataclasses
+
+import cappa
+
+import mothshed.common.constants as constants
+import mothshed.data_plane.router as router_module
+import mothshed.programs.process as process
+
+
+@cappa.command(name="mothshed-route", help="Routes requests: prefill, decode, free, relay. "
+               "Example: mothshed-route --settings route.json")
+@dataclasses.dataclass
+class Route(process.Place):
+    def __call__(self):
+        settings = process.load(self)
+        router = router_module.Router(process.desks(settings)(), settings)
+        router.run()
+        process.serve(router.front(), lambda: router.drain(settings.get("drain_s", constants.DRAIN_MOST)))
+
+
+def main():
+    cappa.invoke(Route)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools beside the daemons: fleet, stand-ins, checker, simulator, runbooks."""
--- /dev/null
+++ b/tools/replica_memory.py
@@ -0,0 +1,143 @@
+"""The stand-in replica's model: held blocks, cache, slots, runs on record.
+
+No HTTP here. Every run, pull, free, lapse and order is written to a ledger (JSON
+lines, flushed at once) under CLOCK_BOOTTIME, so that the checker can judge what
+ran, how often, from which memory, and what was left held.
+"""
+
+import collections
+import hashlib
+import json
+import secrets
+import threading
+
+import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.world as world
+
+HOLD = 12.0             # s; exported memory nobody took lapses after this
+SLOTS = {"prefill": 4, "decode": 8, "none": 4}
+QUEUE = 12              # requests that may wait beyond the slots
+READ_SPEED = 24000.0    # prompt characters a second
+WRITE_SPEED = 90.0      # tokens a second for one stream
+CACHE_KEYS = 256        # prefix blocks kept in the cache
+
+
+def digest_of(prompt):
+    return hashlib.blake2b(prompt.encode(), digest_size=6).hexdigest()
+
+
+class Ledger:
+    def __init__(self, path, name):
+        self.file = open(path, "a", buffering=1) if path else None
+        self.rows, self.name, self.lock = [], name, threading.Lock()
+
+    def add(self, kind, **row):
+        row = {"kind": kind, "replica": self.name, "at": world.now(), **row}
+        with self.lock:
+            self.rows.append(row)
+            if self.file:
+                self.file.write(json.dumps(row) + "\n")
+
+
+class Full(Exception):
+    """No slot and no room to wait: bounced before anything ran."""
+
+
+class Memory:
+    def __init__(self, name, ledger_path=None, role="none"):
+        self.name, self.role = name, role
+        self.engine = f"{name}-{secrets.token_hex(4)}"
+        self.ledger = Ledger(ledger_path, name)
+        self.lock = threading.RLock()
+        self.held = {}                              # request id -> {"blocks", "digest", "born"}
+        self.cache = collections.OrderedDict()      # prefix key -> True
+        self.running = self.waiting = 0
+        self.free_slot = threading.Condition(self.lock)
+        self.shakes = set()                         # engines handshaken with
+        self.standing, self.holder = 0, ""
+        self.fault = {}                             # what the tests make go wrong
+        self.hold = HOLD
+        self.ledger.add("start", engine=self.engine)
+
+    def slots(self):
+        return SLOTS.get(self.role, 4)
+
+    def take_slot(self):
+        with self.lock:
+            if self.running + self.waiting >= self.slots() + QUEUE:
+                raise Full()
+            self.waiting += 1
+            while self.running >= self.slots():
+                self.free_slot.wait(1.0)
+            self.waiting -= 1
+            self.running += 1
+
+    def give_slot(self):
+        with self.lock:
+            self.running -= 1
+            self.free_slot.notify()
+
+    def uncached(self, prompt):
+        """Characters to read; the prompt's blocks are cached from now on."""
+        keys = replica_adapter.prefix_keys(prompt)
+        with self.lock:
+            hits = 0
+            for key in keys:
+                if key not in self.cache:
+                    break
+                hits += 1
+            for key in keys:
+                self.cache[key] = True
+                self.cache.move_to_end(key)
+            while len(self.cache) > CACHE_KEYS:
+                self.cache.popitem(last=False)
+        return max(0, len(prompt) - hits * replica_adapter.BLOCK)
+
+    def export(self, request, prompt):
+        with self.lock:
+            blocks = [secrets.randbelow(1 << 20) for _ in range(1 + len(prompt) // replica_adapter.BLOCK)]
+            self.held[request] = {"blocks": blocks, "digest": digest_of(prompt), "born": world.now()}
+        self.ledger.add("export", request=request, engine=self.engine)
+        return blocks
+
+    def lapse(self):
+        now = world.now()
+        with self.lock:
+            gone = [r for r, h in self.held.items() if now - h["born"] > self.hold]
+            for request in gone:
+                del self.held[request]
+                self.ledger.add("lapse", request=request, engine=self.engine)
+
+    def pull(self, engine, request, blocks):
+        """What a decode replica reads: the digest of the held memory, or None."""
+        self.lapse()
+        with self.lock:
+            held = self.held.get(request)
+            if engine != self.engine or held is None or held["blocks"] != blocks:
+                return None
+            self.ledger.add("pull", request=request, engine=self.engine)
+            return held["digest"]
+
+    def free(self, engine, request):
+        with self.lock:
+            if engine != self.engine or request not in self.held:
+                return False
+            del self.held[request]
+        self.ledger.add("free", request=request, engine=engine)
+        return True
+
+    def order(self, role, standing, holder, sequence):
+        with self.lock:
+            good = standing > self.standing or (standing == self.standing and holder == self.holder)
+            self.ledger.add("order", role=role, standing=standing, holder=holder, taken=good, sequence=sequence)
+            if good:
+                self.standing, self.holder, self.role = standing, holder, role
+            return good
+
+    def condition(self):
+        self.lapse()
+        with self.lock:
+            keys = list(self.cache)[-replica_adapter.KEYS_MOST:]
+            return {"name": self.name, "engine_id": self.engine, "role": self.role, "running": self.running,
+                    "waiting": self.waiting, "slots": self.slots(), "held": len(self.held), "cache": keys,
+                    "standing": self.standing}
--- /dev/null
+++ b/tools/stand_in_list.py
@@ -0,0 +1,77 @@
+"""A stand-in platform list that lags: GET /replicas shows the state of LAG ago.
+
+python -m tools.stand_in_list --address 127.0.0.1:9000 --lag 0.7
+
+POST /set takes one item ({"name": ..., "state": "leaving"} or a whole item),
+POST /drop {"name": ...} removes it. GET /shown tells when each state was first
+visible, for the checker.
+"""
+
+import argparse
+import json
+import threading
+
+import mothshed.common.front as front
+import mothshed.common.world as world
+
+
+class PlatformList:
+    def __init__(self, lag=0.0, now=world.now):
+        self.lag, self.now = lag, now
+        self.lock = threading.Lock()
+        self.past = [(now() - 1e6, {})]      # (when, items)
+        self.down_until = 0.0
+
+    def change(self, name, item):
+        with self.lock:
+            items = dict(self.past[-1][1])
+            if item is None:
+                items.pop(name, None)
+            else:
+                items[name] = {**items.get(name, {}), **item}
+            self.past.append((self.now(), items))
+
+    def shown(self):
+        with self.lock:
+            now = self.now()
+            return next(items for at, items in reversed(self.past) if at <= now - self.lag)
+
+    def history(self):
+        """When each name was first shown as leaving."""
+        found = {}
+        with self.lock:
+            for at, items in self.past:
+                for name, item in items.items():
+                    if item.get("state") == "leaving":
+                        found.setdefault(name, at + self.lag)
+        return found
+
+    def __call__(self, environ, start):
+        path = environ["PATH_INFO"]
+        data = front.body_of(environ)
+        if path == "/replicas":
+            if self.now() < self.down_until:
+                return front.fault(start, 503, "list is down")
+            return front.answer(start, 200, {"items": list(self.shown().values())})
+        if path == "/set":
+            item = json.loads(data)
+            self.change(item["name"], item)
+        elif path == "/drop":
+            self.change(json.loads(data)["name"], None)
+        elif path == "/down":
+            self.down_until = self.now() + json.loads(data)["seconds"]
+        elif path != "/shown":
+            return front.fault(start, 404, "no such path")
+        return front.answer(start, 200, {"leaving": self.history()})
+
+
+def main():
+    parser = argparse.ArgumentParser(description="stand-in platform list")
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--lag", type=float, default=0.7)
+    args = parser.parse_args()
+    front.Server(args.address, PlatformList(args.lag), 16).safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/stand_in_replica.py
@@ -0,0 +1,208 @@
+"""A stand-in model server: OpenAI-style completions with kv_transfer_params.
+
+python -m tools.stand_in_replica --name r1 --address 127.0.0.1:9101 --ledger r1.jsonl
+
+POST /fault sets what goes wrong: {"crash": true}, {"dark": seconds}, {"hold": s},
+{"lapse": true}, {"link": seconds}, {"cut_after": n}, {"error_after": n},
+{"foreign_handle": true}, {"no_handle": true}, {"short_body": true},
+{"bounce": "prefill"|"decode"}, {"slow": factor}.
+"""
+
+import argparse
+import json
+import os
+import secrets
+import time
+
+import mothshed.common.front as front
+import mothshed.common.web as web
+import mothshed.common.world as world
+import tools.replica_memory as replica_memory
+
+THREADS = 64
+
+
+class Replica:
+    def __init__(self, memory, address):
+        self.memory, self.address = memory, address
+        self.web = web.Web()
+
+    def __call__(self, environ, start):
+        path, m = environ["PATH_INFO"], self.memory
+        dark = m.fault.get("dark_until", 0) - world.now()
+        if dark > 0 and path != "/fault":
+            time.sleep(min(dark, 30))
+        data = front.body_of(environ)
+        body = json.loads(data) if data else {}
+        if path == "/condition":
+            return front.answer(start, 200, m.condition())
+        if path == "/kv/pull":
+            time.sleep(m.fault.get("link", 0))
+            digest = m.pull(body["engine_id"], body["request_id"], body["block_ids"])
+            return front.answer(start, 200 if digest else 404, {"digest": digest})
+        if path == "/kv/handshake":
+            return front.answer(start, 200, {"engine_id": m.engine, "agent": secrets.token_hex(4),
+                                             "block_len": 256, "base": 4096, "heads": 8})
+        if path == "/kv/free":
+            good = m.free(body["engine_id"], body["request_id"])
+            return front.answer(start, 200 if good else 404, {"freed": good})
+        if path == "/role":
+            good = m.order(body["role"], body["standing"], body["holder"], body["sequence"])
+            return front.answer(start, 200 if good else 409, {"standing": m.standing})
+        if path == "/fault":
+            return self.set_fault(body, start)
+        if path in ("/v1/completions", "/v1/chat/completions"):
+            return self.complete(path, environ, body, start)
+        return front.fault(start, 404, "no such path")
+
+    def set_fault(self, body, start):
+        m = self.memory
+        if body.get("crash"):
+            os._exit(9)
+        if "dark" in body:
+            body["dark_until"] = world.now() + body.pop("dark")
+        m.hold = body.pop("hold", m.hold)
+        if body.pop("lapse", False):
+            with m.lock:
+                for held in m.held.values():
+                    held["born"] = -1e9
+            m.lapse()
+        m.fault = body
+        return front.answer(start, 200, {})
+
+    def bounce(self, start, request, reason, status=503, kind="busy"):
+        return front.answer(start, status, {"error": {"message": reason, "type": kind, "verdict": "not_run"}},
+                            [("X-Request-Id", request)])
+
+    def complete(self, path, environ, body, start):
+        headers = front.headers_of(environ)
+        request, m = headers.get("x-request-id", ""), self.memory
+        sequence = int(headers.get("x-config-sequence", 0))
+        kv = body.get("kv_transfer_params") or {}
+        role = "prefill" if kv.get("do_remote_decode") else "decode" if kv.get("do_remote_prefill") else ""
+        m.ledger.add("seen", request=request, role=role, sequence=sequence)
+        if not role or role != m.role or m.fault.get("bounce") == role:
+            return self.bounce(start, request, f"not serving {role or 'whole requests'}")
+        try:
+            m.take_slot()
+        except replica_memory.Full:
+            return self.bounce(start, request, "queue is full")
+        if role == "prefill":
+            try:
+                return self.prefill(path, request, body, sequence, start)
+            finally:
+                m.give_slot()
+        return self.decode(path, request, body, kv, sequence, start)
+
+    def prompt(self, path, body):
+        return replica_memory.replica_adapter.prompt_of(path, body)
+
+    def prefill(self, path, request, body, sequence, start):
+        m = self.memory
+        if body.get("max_tokens") != 1 or body.get("stream"):
+            return self.bounce(start, request, "prefill needs max_tokens=1 and stream=false", 400, "bad_request")
+        prompt = self.prompt(path, body)
+        run = secrets.token_hex(4)
+        m.ledger.add("run", role="prefill", request=request, run=run, sequence=sequence, digest=replica_memory.digest_of(prompt))
+        time.sleep(m.uncached(prompt) / replica_memory.READ_SPEED * m.fault.get("slow", 1))
+        blocks = m.export(request, prompt)
+        host, port = self.address.rsplit(":", 1)
+        params = {"remote_engine_id": m.engine, "remote_block_ids": blocks, "remote_request_id": request,
+                  "remote_host": host, "remote_port": int(port), "do_remote_prefill": True, "do_remote_decode": False}
+        if m.fault.get("foreign_handle"):
+            params["remote_request_id"] = "other-" + request
+        said = {"id": f"cmpl-{request}", "object": "text_completion", "kv_transfer_params": params,
+                "choices": [{"index": 0, "text": "discard-me", "finish_reason": "length"}]}
+        if m.fault.get("no_handle"):
+            del said["kv_transfer_params"]
+        m.ledger.add("prefilled", request=request, run=run)
+        if m.fault.get("short_body"):
+            start("200 OK", [("Content-Type", "application/json"), ("Content-Length", "5000"),
+                             ("X-Request-Id", request)])
+            return [json.dumps(said).encode()[:40]]
+        return front.answer(start, 200, said, [("X-Request-Id", request)])
+
+    def fetch(self, request, kv):
+        """WAITING_FOR_REMOTE_KVS: handshake once per pair, then pull. None: the memory is gone."""
+        m, base = self.memory, f"http://{kv['remote_host']}:{kv['remote_port']}"
+        time.sleep(m.fault.get("link", 0))
+        try:
+            if kv["remote_engine_id"] not in m.shakes:
+                status, said = self.web.poll("GET", base + "/kv/handshake", read=2.0)
+                if said.get("engine_id") != kv["remote_engine_id"]:
+                    return None
+                m.shakes.add(kv["remote_engine_id"])
+                m.ledger.add("handshake", engine=kv["remote_engine_id"])
+            status, said = self.web.poll("POST", base + "/kv/pull", {
+                "engine_id": kv["remote_engine_id"], "request_id": kv["remote_request_id"],
+                "block_ids": kv["remote_block_ids"]}, read=5.0)
+            return said["digest"] if status == 200 else None
+        except (web.WebFault, KeyError):
+            return None
+
+    def decode(self, path, request, body, kv, sequence, start):
+        m = self.memory
+        try:
+            digest = self.fetch(request, kv)
+        except BaseException:
+            m.give_slot()
+            raise
+        if digest is None:
+            m.give_slot()
+            return self.bounce(start, request, "held memory is gone", 409, "kv_gone")
+        run = secrets.token_hex(4)
+        m.ledger.add("run", role="decode", request=request, run=run, sequence=sequence, memory=digest,
+                     digest=replica_memory.digest_of(self.prompt(path, body)))
+        start("200 OK", [("Content-Type", "text/event-stream"), ("X-Request-Id", request)])
+        return Tokens(self, path, request, body, digest, run)
+
+
+class Tokens:
+    """The decode's stream; each token names its place, its run and the memory it came from."""
+
+    def __init__(self, replica, path, request, body, digest, run):
+        self.m, self.path, self.request, self.run = replica.memory, path, request, run
+        self.count = body.get("max_tokens", 16)
+        self.rows = self.events(digest)
+        self.open = True
+
+    def __iter__(self):
+        return self.rows
+
+    def events(self, digest):
+        m = self.m
+        for at in range(self.count):
+            time.sleep(m.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
+            if m.fault.get("cut_after") == at:
+                raise ConnectionAbortedError("cut by a fault")
+            if m.fault.get("error_after") == at:
+                yield b'data: {"error": {"message": "engine failed"}}\n\n'
+                return
+            text, finish = f"{at}.{self.run}.{digest} ", "stop" if at == self.count - 1 else None
+            choice = {"index": 0, "text": text, "finish_reason": finish}
+            if self.path == "/v1/chat/completions":
+                choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
+            chunk = {"id": f"cmpl-{self.request}", "object": "text_completion", "choices": [choice]}
+            yield b"data: " + json.dumps(chunk).encode() + b"\n\n"
+        yield b"data: [DONE]\n\n"
+        m.ledger.add("decoded", request=self.request, run=self.run, tokens=self.count)
+
+    def close(self):
+        if self.open:
+            self.open = False
+            self.rows.close()
+            self.m.give_slot()
+
+
+def main():
+    parser = argparse.ArgumentParser(description="stand-in model server")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--ledger")
+    args = parser.parse_args()
+    memory = replica_memory.Memory(args.name, args.ledger)
+    front.Server(args.address, Replica(memory, args.address), THREADS).safe_start()
+
+
+if __name__ == "__main__":
+    main()
