--- a/mothshed/common/replica_adapter.py
+++ b/mothshed/common/replica_adapter.py
@@ -56,6 +56,10 @@
     return {"x-request-id": request.id, "x-config-sequence": str(sequence), "x-cutoff-ms": str(int(left * 1000))}
 
 
+def ids_of(request):
+    return f"cmpl-{request.id}", f"chatcmpl-{request.id}"
+
+
 def fail_of(error, replica):
     kind = verdict.Verdict.MAY_HAVE_RUN if error.sent else verdict.Verdict.NOT_RUN
     return verdict.SendFailure(kind, str(error), replica)
@@ -86,7 +90,7 @@
         said = response.body()
         params = said["kv_transfer_params"]
         needed = [params[k] for k in ("remote_engine_id", "remote_block_ids", "remote_host", "remote_port")]
-        if params["remote_request_id"] != request.id or request.id not in said["id"]:
+        if params["remote_request_id"] != request.id or said["id"] not in ids_of(request):
             raise ValueError("handle of another request")
         if not all(isinstance(n, (str, int, list)) and n != "" for n in needed):
             raise ValueError("handle not whole")
@@ -151,7 +155,7 @@
     def read(self, chunk, finish):
         if "error" in chunk:
             raise ValueError(f"error after 200: {chunk['error']}")
-        if self.request.id not in chunk["id"]:
+        if chunk["id"] not in ids_of(self.request):
             raise ValueError("chunk of another request")
         if finish:
             raise ValueError("chunk after the finish")
--- a/mothshed/common/replicas.py
+++ b/mothshed/common/replicas.py
@@ -6,7 +6,6 @@
 what this process has there now, so that a stale report does not hide own sends.
 """
 
-import concurrent.futures
 import dataclasses
 import threading
 
@@ -26,7 +25,7 @@
 
 
 class Replicas:
-    def __init__(self, desk, list_url, journal, pool=8):
+    def __init__(self, desk, list_url, journal):
         self.desk, self.list_url, self.journal = desk, list_url, journal
         self.rows = {}          # name -> row of the platform's list
         self.conditions = {}    # name -> {"at", "own", "c"}
@@ -34,7 +33,6 @@
         self.mine = {}          # name -> sends of ours running there
         self.doubts = {}        # name -> until when a failed connect keeps us away
         self.lock = threading.RLock()
-        self.pool = concurrent.futures.ThreadPoolExecutor(pool, "probe")
         self.probing = set()
         self.list_at = -1e9
 
@@ -70,7 +68,7 @@
                 seen = self.conditions.get(name)
                 if name not in self.probing and (not seen or now - seen["at"] > constants.PROBE_BEAT * 0.8):
                     self.probing.add(name)
-                    self.pool.submit(self.probe, name, row["url"])
+                    self.desk.spawn(lambda name=name, url=row["url"]: self.probe(name, url))
             self.desk.pause(constants.PROBE_BEAT / 2)
 
     def probe(self, name, url):
--- a/mothshed/common/world.py
+++ b/mothshed/common/world.py
@@ -69,18 +69,42 @@
                 post(lambda beat=beat: beat.call and beat.call())
 
 
-class Desk:
-    def __init__(self, beats, peers, address):
-        self.beats = beats
-        self.peers = peers
-        self.address = address
+class Tasks:
+    """Clock, pauses, gates, tasks, HTTP and chance: what straight-down code takes."""
+
+    def __init__(self):
         self.random = random.Random()
-        self.box = Mailbox.start()
         self.web = web.Web()
 
     def now(self):
         return now()
 
+    def pause(self, span):
+        time.sleep(span)
+
+    def gate(self):
+        return threading.Event()
+
+    def spawn(self, call):
+        """Runs call() as a task of its own."""
+        def run():
+            try:
+                call()
+            except Exception as e:
+                ring.trouble("task_failed", e)
+        threading.Thread(target=run, daemon=True).start()
+
+
+class Desk(Tasks):
+    """Tasks, and the mailbox, beats and peers that callbacks take."""
+
+    def __init__(self, beats, peers, address):
+        super().__init__()
+        self.beats = beats
+        self.peers = peers
+        self.address = address
+        self.box = Mailbox.start()
+
     def post(self, call):
         try:
             self.box.tell(call)
@@ -97,20 +121,5 @@
         """Calls call(sender, body) in this desk's mailbox for records of a kind."""
         self.peers.hear(kind, part, lambda who, body: self.post(lambda: call(who, body)))
 
-    def pause(self, span):
-        time.sleep(span)
-
-    def gate(self):
-        return threading.Event()
-
-    def spawn(self, call):
-        """Runs call() as a task of its own."""
-        def run():
-            try:
-                call()
-            except Exception as e:
-                ring.trouble("task_failed", e)
-        threading.Thread(target=run, daemon=True).start()
-
     def stop(self):
         self.box.stop(block=False)
--- a/mothshed/control_plane/joining.py
+++ b/mothshed/control_plane/joining.py
@@ -31,7 +31,7 @@
                                address=self.address, http=self.http)
         if self.chart.state in ("empty", "learner") or now - self.heard > 2 * constants.ELECT_LOW:
             goals = {m["address"] for m in self.members.values()} | set(self.first) | set(self.known())
-            for address in goals - {self.address}:
+            for address in sorted(goals - {self.address}):
                 self.desk.tell(address, "join_ask", part=self.part, who=self.who,
                                address=self.address, http=self.http)
 
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -1,7 +1,6 @@
 """A keeper process's parts: one member, on a mailbox of its own, for every part."""
 
 import secrets
-import threading
 
 import mothshed.common.constants as constants
 import mothshed.common.disk as disk_module
@@ -17,23 +16,23 @@
 import mothshed.control_plane.service_part as service_part
 
 
-def incarnation(disk, name, chance=lambda: secrets.token_hex(6)):
+def incarnation(disk, name, chance):
     """This member's id: its name and a mark that a wiped folder does not have."""
     text = disk.read("incarnation").decode()
     if not text:
         if any(n.startswith("part-") for n in disk.names()):
             raise disk_module.DiskFault("logs without an incarnation: wipe the folder")
-        text = chance()
+        text = chance(6)
         disk.put("incarnation", text.encode())
     return f"{name}/{text}"
 
 
 class Keeper:
-    def __init__(self, desk, settings, new_desk, disk):
+    def __init__(self, desk, settings, new_desk, disk, chance=secrets.token_hex):
         self.desk, self.settings = desk, settings
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
-        self.who = incarnation(disk, settings["name"])
+        self.who = incarnation(disk, settings["name"], chance)
         self.replicas = replicas_module.Replicas(desk, settings["list_url"], self.journal)
         self.gossip = gossip.Gossip(desk, settings["name"], "keep", settings["cell"], settings["seeds"], self.replicas)
         self.lease = lease_module.Lease(desk, self.lease_goals)
@@ -60,13 +59,13 @@
 
     def in_part(self, seat, call):
         """Runs call() in a part's mailbox and waits for what it returns."""
-        gate, box = threading.Event(), []
+        gate, box = self.desk.gate(), []
         seat.desk.post(lambda: (box.append(call()), gate.set()))
         return box[0] if gate.wait(constants.COMMIT_WAIT) else None
 
     def ask_part(self, seat, start):
         """start(done) in a part's mailbox; waits for done(result). None: not known."""
-        gate, box = threading.Event(), []
+        gate, box = self.desk.gate(), []
 
         def done(result):
             box.append(result)
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -58,10 +58,14 @@
             try:
                 call(*args)
             except disk_module.DiskFault as e:
-                ring.trouble("disk_fault", e, part=self.part)
-                self.stop()
+                self.fail_disk(e)
         return run
 
+    def fail_disk(self, e):
+        """What is on the disk is not known any more: this member takes no further part."""
+        ring.trouble("disk_fault", e, part=self.part)
+        self.stop()
+
     @property
     def owns(self):
         return self.chart.state == "owner"
@@ -100,8 +104,12 @@
             call(None)
             return
         index = self.log.last + 1
-        self.log.put([{"i": index, "t": self.log.term, "c": command}])
         self.waits[index] = (self.log.term, call)
+        try:
+            self.log.put([{"i": index, "t": self.log.term, "c": command}])
+        except disk_module.DiskFault as e:
+            self.fail_disk(e)
+            return
         if command.get("op") == "members":
             self.read_members()
         self.count_commit()
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -88,7 +88,7 @@
         if not row or sequence is None:
             return
         self.busy.add(name)
-        self.replicas.pool.submit(self.send, name, row["url"], role, standing, sequence)
+        self.desk.spawn(lambda: self.send(name, row["url"], role, standing, sequence))
 
     def send(self, name, url, role, standing, sequence):
         good = False
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,21 @@
+"""Every simulated day, each with a fixed seed: every rule kept, service back in time.
+
+More seeds: python -m tools.simulate --day all --seeds 1-50
+"""
+
+import pytest
+
+import tools.simulate as simulate
+import tools.simulator.days as days
+
+
+@pytest.mark.parametrize("name", list(days.DAYS))
+def test_a_day_keeps_every_rule(name):
+    broken, fleet = simulate.one(name, 1)
+    assert broken == {}
+    assert sum(r["end"] == "whole" for r in fleet.rows) > 50      # the day really carried traffic
+
+
+def test_a_seed_repeats_exactly():
+    one, two = (simulate.one("anything", 2)[1] for _ in range(2))
+    assert (one.rows, one.ledger, one.loop.steps) == (two.rows, two.ledger, two.loop.steps)
--- a/tools/replica_memory.py
+++ b/tools/replica_memory.py
@@ -8,17 +8,16 @@
 import collections
 import hashlib
 import json
-import secrets
 import threading
 
 import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.world as world
 
 HOLD = 12.0             # s; exported memory nobody took lapses after this
 SLOTS = {"prefill": 4, "decode": 8, "none": 4}
 QUEUE = 12              # requests that may wait beyond the slots
 READ_SPEED = 24000.0    # prompt characters a second
 WRITE_SPEED = 90.0      # tokens a second for one stream
+WAIT_BEAT = 0.004       # s; a waiting request looks for a slot this often
 CACHE_KEYS = 256        # prefix blocks kept in the cache
 
 
@@ -27,12 +26,13 @@
 
 
 class Ledger:
-    def __init__(self, path, name):
+    def __init__(self, path, name, now):
+        self.now = now
         self.file = open(path, "a", buffering=1) if path else None
         self.rows, self.name, self.lock = [], name, threading.Lock()
 
     def add(self, kind, **row):
-        row = {"kind": kind, "replica": self.name, "at": world.now(), **row}
+        row = {"kind": kind, "replica": self.name, "at": self.now(), **row}
         with self.lock:
             self.rows.append(row)
             if self.file:
@@ -44,21 +44,23 @@
 
 
 class Memory:
-    def __init__(self, name, ledger_path=None, role="none"):
-        self.name, self.role = name, role
-        self.engine = f"{name}-{secrets.token_hex(4)}"
-        self.ledger = Ledger(ledger_path, name)
+    def __init__(self, desk, name, ledger_path=None, ledger=None):
+        self.desk, self.name, self.role = desk, name, "none"
+        self.engine = f"{name}-{self.token()}"
+        self.ledger = ledger or Ledger(ledger_path, name, desk.now)
         self.lock = threading.RLock()
         self.held = {}                              # request id -> {"blocks", "digest", "born"}
         self.cache = collections.OrderedDict()      # prefix key -> True
         self.running = self.waiting = 0
-        self.free_slot = threading.Condition(self.lock)
         self.shakes = set()                         # engines handshaken with
         self.standing, self.holder = 0, ""
         self.fault = {}                             # what the tests make go wrong
         self.hold = HOLD
         self.ledger.add("start", engine=self.engine)
 
+    def token(self):
+        return f"{self.desk.random.getrandbits(32):08x}"
+
     def slots(self):
         return SLOTS.get(self.role, 4)
 
@@ -67,15 +69,17 @@
             if self.running + self.waiting >= self.slots() + QUEUE:
                 raise Full()
             self.waiting += 1
-            while self.running >= self.slots():
-                self.free_slot.wait(1.0)
-            self.waiting -= 1
-            self.running += 1
+        while True:
+            with self.lock:
+                if self.running < self.slots():
+                    self.waiting -= 1
+                    self.running += 1
+                    return
+            self.desk.pause(WAIT_BEAT)
 
     def give_slot(self):
         with self.lock:
             self.running -= 1
-            self.free_slot.notify()
 
     def uncached(self, prompt):
         """Characters to read; the prompt's blocks are cached from now on."""
@@ -95,13 +99,13 @@
 
     def export(self, request, prompt):
         with self.lock:
-            blocks = [secrets.randbelow(1 << 20) for _ in range(1 + len(prompt) // replica_adapter.BLOCK)]
-            self.held[request] = {"blocks": blocks, "digest": digest_of(prompt), "born": world.now()}
+            blocks = [self.desk.random.getrandbits(20) for _ in range(1 + len(prompt) // replica_adapter.BLOCK)]
+            self.held[request] = {"blocks": blocks, "digest": digest_of(prompt), "born": self.desk.now()}
         self.ledger.add("export", request=request, engine=self.engine)
         return blocks
 
     def lapse(self):
-        now = world.now()
+        now = self.desk.now()
         with self.lock:
             gone = [r for r, h in self.held.items() if now - h["born"] > self.hold]
             for request in gone:
--- /dev/null
+++ b/tools/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The deterministic simulator: product code under an injected clock, network and disk."""
--- /dev/null
+++ b/tools/simulator/fleet.py
@@ -0,0 +1,247 @@
+"""A simulated fleet: the product's own keepers, routers and fronts, with stand-ins.
+
+Machines are named; `kill`, `start`, `wipe` and the network's cuts act on names.
+Callers, the platform's list and operators sit on machines of their own that no
+fault touches. Everything the judge reads is recorded here.
+"""
+
+import random
+
+import mothshed.common.ring as ring
+import mothshed.control_plane.keeper as keeper_module
+import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.data_plane.router as router_module
+import mothshed.data_plane.router_front as router_front
+import mothshed.programs.ask as ask
+import tools.callers as callers
+import tools.fleet as real_fleet
+import tools.judge as judge
+import tools.replica_memory as replica_memory
+import tools.simulator.desk as desk_module
+import tools.simulator.loop as loop_module
+import tools.simulator.network as network
+import tools.stand_in_list as stand_in_list
+import tools.stand_in_replica as stand_in_replica
+
+
+class Ledger:
+    """One ledger for all replicas; survives their crashes."""
+
+    def __init__(self, loop, name, rows):
+        self.loop, self.name, self.rows = loop, name, rows
+
+    def add(self, kind, **row):
+        self.rows.append({"kind": kind, "replica": self.name, "at": self.loop.time, **row})
+
+
+class SimFleet:
+    def __init__(self, seed, deployment="patinetes", routers=3, keepers=3, replicas=4, lag=0.7):
+        self.loop = loop_module.Loop(seed)
+        self.net = network.Network(self.loop)
+        self.random = random.Random(f"{seed}/faults")
+        self.plan, self.deployment, self.seed = real_fleet.DEPLOYMENTS[deployment], deployment, seed
+        self.machines, self.disks, self.parts, self.settings = {}, {}, {}, {}
+        self.ledger, self.rows, self.writes, self.refused, self.unknown = [], [], [], [], []
+        self.outside = self.machine("outside")
+        self.ops = self.desk(self.outside, "10.0.0.1:1")
+        self.list = stand_in_list.PlatformList(lag, lambda: self.loop.time)
+        self.net.apps["10.0.0.2:80"] = (self.outside, self.list)
+        self.seeds = [f"10.1.0.{at + 1}:70" for at in range(keepers)]
+        for at in range(replicas):
+            self.add_replica(f"replica-{at + 1}", at)
+        for at in range(keepers):
+            self.add_keeper(f"keep-{at + 1}", at, self.seeds[at])
+        for at in range(routers):
+            self.add_router(f"route-{at + 1}", at)
+
+    def machine(self, name):
+        self.machines[name] = loop_module.Machine(self.loop, name)
+        return self.machines[name]
+
+    def desk(self, machine, address, label=""):
+        self.net.machines[address] = machine
+        return desk_module.SimDesk(self.loop, self.net, machine, address, label)
+
+    def zone(self, at):
+        return self.plan["zones"][at % len(self.plan["zones"])]
+
+    def add_replica(self, name, at, service=None):
+        machine = self.machine(name)
+        self.settings[name] = {"http": f"10.3.0.{at + 1}:80"}
+        self.list.change(name, {"name": name, "address": f"10.3.0.{at + 1}:80", "zone": self.zone(at),
+                                "service": service or self.plan["model"], "labels": {"app": self.plan["model"]},
+                                "state": "ready"})
+        self.boot_replica(name, machine)
+
+    def boot_replica(self, name, machine):
+        at = self.settings[name]["http"]
+        desk = self.desk(machine, at)
+        memory = replica_memory.Memory(desk, name, ledger=Ledger(self.loop, name, self.ledger))
+        self.parts[name] = memory
+        self.net.apps[at] = (machine, stand_in_replica.Replica(memory, at, lambda: self.kill(name)))
+
+    def place(self, name, address, at, **more):
+        host = address.rsplit(":", 1)[0]
+        self.settings[name] = {"name": name, "address": address, "http": f"{host}:80", "cell": self.zone(at),
+                               "seeds": list(self.seeds), "first_keepers": list(self.seeds),
+                               "list_url": "http://10.0.0.2:80/replicas", **more}
+
+    def add_keeper(self, name, at, address):
+        self.disks[name] = desk_module.SimDisk(self.loop, self.machine(name))
+        self.place(name, address, at)
+        self.boot_keeper(name)
+
+    def boot_keeper(self, name):
+        machine, settings, disk = self.machines[name], self.settings[name], self.disks[name]
+        self.net.ears[settings["address"]] = {}
+        label = [0]
+
+        def make():
+            label[0] += 1
+            return self.desk(machine, settings["address"], label[0])
+        mark = lambda n: f"{self.loop.random.getrandbits(8 * n):x}"
+        keeper = keeper_module.Keeper(make(), settings, make, disk, mark)
+        keeper.run()
+        self.parts[name] = keeper
+        self.net.apps[settings["http"]] = (machine, keeper_front.KeeperFront(keeper))
+
+    def add_router(self, name, at):
+        self.machine(name)
+        self.place(name, f"10.2.{at // 200}.{at % 200 + 1}:70", at)
+        self.boot_router(name)
+
+    def boot_router(self, name):
+        machine, settings = self.machines[name], self.settings[name]
+        self.net.ears[settings["address"]] = {}
+        router = router_module.Router(self.desk(machine, settings["address"]), settings)
+        router.run()
+        self.parts[name] = router
+        self.net.apps[settings["http"]] = (machine, router_front.RouterFront(router))
+
+    # --- what happens to machines ---
+    def kill(self, name):
+        machine = self.machines[name]
+        if machine.alive:
+            machine.kill()
+            if name in self.disks:
+                self.disks[name].crash()
+
+    def start(self, name):
+        machine = self.machines[name]
+        if machine.alive:
+            return
+        machine.revive()
+        if name in self.disks:
+            self.boot_keeper(name)
+        elif name.startswith("route"):
+            self.boot_router(name)
+        else:
+            self.boot_replica(name, machine)
+
+    def move(self, name, address):
+        """A machine comes back at a new address."""
+        old = self.settings[name]
+        self.net.apps.pop(old["http"], None)
+        self.net.machines.pop(old["address"], None)
+        host = address.rsplit(":", 1)[0]
+        self.settings[name] = {**old, "address": address, "http": f"{host}:80"}
+
+    def wipe(self, name):
+        self.disks[name].wipe()
+
+    def later(self, delay, call):
+        self.loop.at(delay, None, call)
+
+    def names(self, stem):
+        return [n for n in self.machines if n.startswith(stem)]
+
+    def owner(self, part=0):
+        for name in self.names("keep"):
+            if self.machines[name].alive and self.parts[name].members[part].owns:
+                return name
+        return None
+
+    def run(self, span):
+        self.loop.run(self.loop.time + span)
+
+    # --- what callers and operators do ---
+    def http(self, stem):
+        return [s["http"] for n, s in self.settings.items() if n.startswith(stem)]
+
+    def operator(self, call):
+        self.loop.spawn(self.outside, call)
+
+    def ask(self, method, path, body=None, most=8):
+        """One operator's question to the keepers, tried until answered."""
+        chance = self.random
+        for turn in range(most):
+            url = f"http://{chance.choice(self.http('keep'))}{path}"
+            try:
+                for hop in range(4):
+                    response = self.ops.web.send(method, url, body, read=5.0)
+                    status, said = response.status, response.body()
+                    if status != 307:
+                        break
+                    url = response.headers.get("location")
+                if status not in (503, 307):
+                    return status, said
+            except network.web.WebFault:
+                pass
+            self.ops.pause(0.4)
+        return 0, {}
+
+    def apply(self, mark, base=None, body=None):
+        """Writes a document; the end is recorded for the judge."""
+        if base is None:
+            status, said = self.ask("GET", "/configuration")
+            if status != 200:
+                return
+            base = said["latest"]
+        body = body or real_fleet.document(self.deployment, note=mark)
+        status, said = self.ask("PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"})
+        if status == 200:
+            self.writes.append({"id": mark, "sequence": said["sequence"], "acked": self.loop.time})
+        elif status == 409:
+            self.refused.append(mark)
+        else:
+            self.unknown.append(mark)
+
+    def ready(self, most=20.0):
+        """Runs until the first document is active and every replica has a role."""
+        self.operator(lambda: self.apply("first", 0))
+        until = self.loop.time + most
+        while self.loop.time < until:
+            self.run(0.25)
+            routers = [self.parts[n] for n in self.names("route")]
+            roles = [self.parts[n].role for n in self.names("replica")]
+            if all(r.lease.sequence() for r in routers) and (not routers or "none" not in roles):
+                if not routers and self.writes:
+                    return
+                if routers and all(len(r.replicas.usable({}, "decode")) > 0 for r in routers):
+                    return
+        raise RuntimeError("the fleet never became ready")
+
+    def load(self, rate, seconds, seed=None, kinds=callers.KINDS, tenants=None):
+        routers = {}
+        for name in self.names("route"):
+            routers.setdefault(self.settings[name]["cell"], []).append(self.settings[name]["http"])
+        load = callers.Load(self.ops, seed or self.seed, tenants or self.plan["tenants"], routers, self.plan["model"],
+                            rate, seconds, kinds)
+        load.rows = self.rows
+        self.operator(load.run)
+        return load
+
+    def judge(self, rest=3.0):
+        """Lets everything come to rest, reads the configuration back, applies every rule."""
+        box = []
+        self.operator(lambda: box.append(self.ask("GET", "/configuration/history", most=40)))
+        self.run(25.0)
+        final = box[0][1] if box and box[0][0] == 200 else None
+        rules = judge.all_rules(self.rows, self.ledger, self.writes, self.list.history(), final, self.refused)
+        rules["freed"] = judge.freed(self.ledger, self.loop.time - rest)
+        rules["read back"] = [] if final else ["the configuration could not be read back"]
+        rules["no crash inside"] = [f"{at:.2f} {who}: {e!r}" for at, who, e in self.loop.faults]
+        return {rule: found for rule, found in rules.items() if found}
+
+
+ring.start("simulator", "/dev/null")
--- /dev/null
+++ b/tools/simulator/loop.py
@@ -0,0 +1,118 @@
+"""Virtual time and tasks: one event after another, the same for the same seed.
+
+Straight-down code runs in greenlets, one at a time, that give way only where the
+product pauses, waits at a gate or for the network. Events belong to a machine: a
+dead machine's are dropped, a frozen machine's wait for its thaw in their order.
+"""
+
+import heapq
+import itertools
+import random
+
+import greenlet
+
+
+class Machine:
+    """Something that can be killed, frozen and restarted."""
+
+    def __init__(self, loop, name):
+        self.loop, self.name = loop, name
+        self.alive, self.epoch, self.frozen_until = True, 0, 0.0
+        self.on_death = []      # callbacks: connections to reset, disks to crash
+
+    def freeze(self, span):
+        self.frozen_until = max(self.frozen_until, self.loop.time + span)
+
+    def kill(self):
+        self.alive = False
+        self.epoch += 1
+        self.frozen_until = 0.0
+        calls, self.on_death = self.on_death, []
+        for call in calls:
+            call()
+
+    def revive(self):
+        self.alive = True
+
+
+class Loop:
+    def __init__(self, seed):
+        self.time = 1000.0
+        self.random = random.Random(seed)
+        self.heap, self.count = [], itertools.count()
+        self.hub = greenlet.getcurrent()
+        self.kept = []          # tasks of dead machines: never run again, never collected early
+        self.faults = []        # exceptions that escaped a callback or task
+        self.steps = 0
+
+    def at(self, delay, machine, call):
+        epoch = machine.epoch if machine else 0
+        heapq.heappush(self.heap, (self.time + max(0.0, delay), next(self.count), machine, epoch, call))
+
+    def run(self, until):
+        while self.heap and self.heap[0][0] <= until:
+            due, number, machine, epoch, call = heapq.heappop(self.heap)
+            self.time = max(self.time, due)
+            if machine:
+                if not machine.alive or machine.epoch != epoch:
+                    continue
+                if machine.frozen_until > self.time:
+                    heapq.heappush(self.heap, (machine.frozen_until, number, machine, epoch, call))
+                    continue
+            self.steps += 1
+            try:
+                call()
+            except Exception as e:
+                self.faults.append((self.time, machine.name if machine else "", e))
+        self.time = until
+
+    def spawn(self, machine, call):
+        task = greenlet.greenlet(call, parent=self.hub)
+        self.kept.append(task)
+        if len(self.kept) > 5000:
+            self.kept = [t for t in self.kept if not t.dead]
+        self.at(0.0, machine, task.switch)
+
+    def pause(self, machine, span):
+        task = greenlet.getcurrent()
+        if task is self.hub:
+            raise RuntimeError("a callback must not wait")
+        self.at(span, machine, task.switch)
+        self.hub.switch()
+
+
+class Gate:
+    """The simulator's event: wait(timeout), set, clear."""
+
+    def __init__(self, loop, machine):
+        self.loop, self.machine = loop, machine
+        self.open, self.waits = False, []
+
+    def is_set(self):
+        return self.open
+
+    def set(self):
+        self.open = True
+        waits, self.waits = self.waits, []
+        for wake in waits:
+            wake()
+
+    def clear(self):
+        self.open = False
+
+    def wait(self, timeout=None):
+        if self.open:
+            return True
+        task, done = greenlet.getcurrent(), []
+        if task is self.loop.hub:
+            raise RuntimeError("a callback must not wait")
+
+        def wake():
+            if not done:
+                done.append(True)
+                self.loop.at(0.0, self.machine, task.switch)
+        self.waits.append(wake)
+        if timeout is not None:
+            self.loop.at(timeout, self.machine, wake)
+        self.loop.hub.switch()
+        return self.open
--- /dev/null
+++ b/tools/simulator/network.py
@@ -0,0 +1,207 @@
+"""The simulated network: records and HTTP between machines, with cuts.
+
+Records are packed and unpacked as on a real wire and keep their order per pair
+of machines. HTTP calls run the real WSGI fronts. A cut is one-way between two
+machines; what is sent across one is lost. A dead machine refuses connections, a
+frozen one accepts them and says nothing, as a stopped process does.
+"""
+
+import io
+import json
+
+import mothshed.common.constants as constants
+import mothshed.common.records as records
+import mothshed.common.web as web
+
+LOW, SPAN = 0.0003, 0.0012      # s; a local network's delay
+
+
+class Network:
+    def __init__(self, loop):
+        self.loop = loop
+        self.machines = {}      # address -> Machine
+        self.ears = {}          # address -> {(kind, part): call}
+        self.apps = {}          # HTTP address -> (Machine, WSGI app)
+        self.cuts = set()       # (from name, to name)
+        self.last = {}          # (from, to) -> time of the latest delivery
+        self.count = 0
+
+    def cut(self, one, other, both=True):
+        self.cuts.add((one, other))
+        if both:
+            self.cuts.add((other, one))
+
+    def split(self, some, rest):
+        for a in some:
+            for b in rest:
+                self.cut(a, b)
+
+    def heal(self):
+        self.cuts.clear()
+
+    def open(self, one, other):
+        return one is other or (one.name, other.name) not in self.cuts
+
+    def delay(self, one, other):
+        due = max(self.loop.time, one.frozen_until) + LOW + self.loop.random.random() * SPAN
+        due = max(due, self.last.get((one.name, other.name), 0.0) + 1e-6)
+        self.last[(one.name, other.name)] = due
+        return due - self.loop.time
+
+    def tell(self, machine, sender, goal, kind, body):
+        data = records.pack(kind, **body)
+        other = self.machines.get(goal)
+        if other is None or not machine.alive or not self.open(machine, other):
+            return
+        self.count += 1
+
+        def arrive():
+            if not self.open(machine, other):
+                return
+            kind, body = records.unpack(data)
+            ears = self.ears.get(goal, {})
+            call = ears.get((kind, body.get("part"))) or ears.get((kind, None))
+            if call:
+                call(sender, body)
+        self.loop.at(self.delay(machine, other), other, arrive)
+
+
+class Channel:
+    """One HTTP exchange: pieces on their way to the asker."""
+
+    def __init__(self, net, asker, server):
+        self.net, self.asker, self.server = net, asker, server
+        self.pieces, self.gate_call = [], None
+        self.closed = False
+
+    def push(self, piece):
+        """From the server's side; an asker that hung up makes it fail, as a socket would."""
+        if self.closed:
+            raise BrokenPipeError("asker hung up")
+        if not self.net.open(self.server, self.asker):
+            return
+
+        def arrive():
+            self.pieces.append(piece)
+            if self.gate_call:
+                self.gate_call()
+        self.net.loop.at(self.net.delay(self.server, self.asker), self.asker, arrive)
+
+    def reset(self):
+        if not self.closed:
+            self.push(("reset", None))
+
+
+class SimResponse:
+    def __init__(self, channel, gate, status, headers, read):
+        self.channel, self.gate, self.read = channel, gate, read
+        self.status, self.headers = status, headers
+        self.size = int(headers["content-length"]) if "content-length" in headers else None
+
+    def pull(self):
+        if not self.channel.pieces:
+            self.gate.clear()
+            if not self.gate.wait(self.read):
+                raise web.WebFault("ReadTimeoutError", True)
+        kind, data = self.channel.pieces.pop(0)
+        if kind == "reset":
+            raise web.WebFault("ProtocolError: reset", True)
+        return kind, data
+
+    def bytes(self):
+        got = 0
+        while True:
+            kind, data = self.pull()
+            if kind == "end":
+                if self.size is not None and got != self.size:
+                    raise web.WebFault("IncompleteRead", True)
+                return
+            got += len(data)
+            yield data
+
+    def body(self):
+        try:
+            return json.loads(b"".join(self.bytes()))
+        except ValueError as e:
+            raise web.WebFault(f"body: {e}", True) from e
+        finally:
+            self.close()
+
+    def lines(self):
+        rest = b""
+        try:
+            for piece in self.bytes():
+                rest += piece
+                *whole, rest = rest.split(b"\n")
+                yield from whole
+            if rest:
+                raise web.WebFault("stream ends within a line", True)
+        finally:
+            self.close()
+
+    def close(self):
+        self.channel.closed = True
+
+
+class Head(dict):
+    """Response headers by lower-case name."""
+
+    def get(self, name, default=None):
+        return super().get(name.lower(), default)
+
+
+class SimWeb:
+    def __init__(self, net, machine, new_gate):
+        self.net, self.machine, self.new_gate = net, machine, new_gate
+
+    def send(self, method, url, body=None, headers=None, connect=constants.CONNECT_TIME, read=constants.STREAM_QUIET):
+        net, loop, own = self.net, self.net.loop, self.machine
+        address, path = url.removeprefix("http://").split("/", 1)
+        found = net.apps.get(address)
+        other = found[0] if found else None
+        if other and not (net.open(own, other) and net.open(other, own)):
+            loop.pause(own, connect)
+            raise web.WebFault("ConnectTimeoutError", False)
+        loop.pause(own, LOW + loop.random.random() * SPAN)
+        found = net.apps.get(address)
+        if not found or not found[0].alive:
+            raise web.WebFault("NewConnectionError", False)
+        other, app = found
+        channel, gate = Channel(net, own, other), self.new_gate()
+        channel.gate_call = gate.set
+        data = b"" if body is None else json.dumps(body).encode()
+        environ = {"PATH_INFO": "/" + path, "REQUEST_METHOD": method, "CONTENT_LENGTH": str(len(data)),
+                   "wsgi.input": io.BytesIO(data)}
+        for name, text in (headers or {}).items():
+            environ["HTTP_" + name.upper().replace("-", "_")] = text
+        if net.open(own, other):
+            loop.at(net.delay(own, other), other, lambda: loop.spawn(other, lambda: self.serve(app, environ, channel)))
+            other.on_death.append(channel.reset)
+            if len(other.on_death) > 4000:
+                other.on_death = [c for c in other.on_death if not getattr(c, "__self__", None) or not c.__self__.closed]
+        response = SimResponse(channel, gate, 0, Head(), read)
+        kind, data = response.pull()
+        status, fields = data
+        fields = Head({k.lower(): v for k, v in fields})
+        return SimResponse(channel, gate, int(status.split()[0]), fields, read)
+
+    def serve(self, app, environ, channel):
+        def start(status, headers):
+            channel.push(("head", (status, headers)))
+        rows = None
+        try:
+            rows = app(environ, start)
+            for piece in rows:
+                channel.push(("data", piece))
+            channel.push(("end", None))
+        except BrokenPipeError:
+            pass
+        except Exception:       # a server closes the connection without the end
+            channel.reset()
+        finally:
+            if hasattr(rows, "close"):
+                rows.close()
+
+    def poll(self, method, url, body=None, headers=None, read=constants.PROBE_TIME):
+        response = self.send(method, url, body, headers, read=read)
+        return response.status, response.body()
--- a/tools/stand_in_replica.py
+++ b/tools/stand_in_replica.py
@@ -11,8 +11,6 @@
 import argparse
 import json
 import os
-import secrets
-import time
 
 import mothshed.common.front as front
 import mothshed.common.web as web
@@ -23,25 +21,25 @@
 
 
 class Replica:
-    def __init__(self, memory, address):
-        self.memory, self.address = memory, address
-        self.web = web.Web()
+    def __init__(self, memory, address, crash=lambda: os._exit(9)):
+        self.memory, self.address, self.crash = memory, address, crash
+        self.desk = memory.desk
 
     def __call__(self, environ, start):
         path, m = environ["PATH_INFO"], self.memory
-        dark = m.fault.get("dark_until", 0) - world.now()
+        dark = m.fault.get("dark_until", 0) - self.desk.now()
         if dark > 0 and path != "/fault":
-            time.sleep(min(dark, 30))
+            self.desk.pause(min(dark, 30))
         data = front.body_of(environ)
         body = json.loads(data) if data else {}
         if path == "/condition":
             return front.answer(start, 200, m.condition())
         if path == "/kv/pull":
-            time.sleep(m.fault.get("link", 0))
+            self.desk.pause(m.fault.get("link", 0))
             digest = m.pull(body["engine_id"], body["request_id"], body["block_ids"])
             return front.answer(start, 200 if digest else 404, {"digest": digest})
         if path == "/kv/handshake":
-            return front.answer(start, 200, {"engine_id": m.engine, "agent": secrets.token_hex(4),
+            return front.answer(start, 200, {"engine_id": m.engine, "agent": m.token(),
                                              "block_len": 256, "base": 4096, "heads": 8})
         if path == "/kv/free":
             good = m.free(body["engine_id"], body["request_id"])
@@ -58,9 +56,9 @@
     def set_fault(self, body, start):
         m = self.memory
         if body.get("crash"):
-            os._exit(9)
+            self.crash()
         if "dark" in body:
-            body["dark_until"] = world.now() + body.pop("dark")
+            body["dark_until"] = self.desk.now() + body.pop("dark")
         m.hold = body.pop("hold", m.hold)
         if body.pop("lapse", False):
             with m.lock:
@@ -102,9 +100,9 @@
         if body.get("max_tokens") != 1 or body.get("stream"):
             return self.bounce(start, request, "prefill needs max_tokens=1 and stream=false", 400, "bad_request")
         prompt = self.prompt(path, body)
-        run = secrets.token_hex(4)
+        run = m.token()
         m.ledger.add("run", role="prefill", request=request, run=run, sequence=sequence, digest=replica_memory.digest_of(prompt))
-        time.sleep(m.uncached(prompt) / replica_memory.READ_SPEED * m.fault.get("slow", 1))
+        self.desk.pause(m.uncached(prompt) / replica_memory.READ_SPEED * m.fault.get("slow", 1))
         blocks = m.export(request, prompt)
         host, port = self.address.rsplit(":", 1)
         params = {"remote_engine_id": m.engine, "remote_block_ids": blocks, "remote_request_id": request,
@@ -125,15 +123,15 @@
     def fetch(self, request, kv):
         """WAITING_FOR_REMOTE_KVS: handshake once per pair, then pull. None: the memory is gone."""
         m, base = self.memory, f"http://{kv['remote_host']}:{kv['remote_port']}"
-        time.sleep(m.fault.get("link", 0))
+        self.desk.pause(m.fault.get("link", 0))
         try:
             if kv["remote_engine_id"] not in m.shakes:
-                status, said = self.web.poll("GET", base + "/kv/handshake", read=2.0)
+                status, said = self.desk.web.poll("GET", base + "/kv/handshake", read=2.0)
                 if said.get("engine_id") != kv["remote_engine_id"]:
                     return None
                 m.shakes.add(kv["remote_engine_id"])
                 m.ledger.add("handshake", engine=kv["remote_engine_id"])
-            status, said = self.web.poll("POST", base + "/kv/pull", {
+            status, said = self.desk.web.poll("POST", base + "/kv/pull", {
                 "engine_id": kv["remote_engine_id"], "request_id": kv["remote_request_id"],
                 "block_ids": kv["remote_block_ids"]}, read=5.0)
             return said["digest"] if status == 200 else None
@@ -150,7 +148,7 @@
         if digest is None:
             m.give_slot()
             return self.bounce(start, request, "held memory is gone", 409, "kv_gone")
-        run = secrets.token_hex(4)
+        run = m.token()
         m.ledger.add("run", role="decode", request=request, run=run, sequence=sequence, memory=digest,
                      digest=replica_memory.digest_of(self.prompt(path, body)))
         start("200 OK", [("Content-Type", "text/event-stream"), ("X-Request-Id", request)])
@@ -172,7 +170,7 @@
     def events(self, digest):
         m = self.m
         for at in range(self.count):
-            time.sleep(m.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
+            m.desk.pause(m.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
             if m.fault.get("cut_after") == at:
                 raise ConnectionAbortedError("cut by a fault")
             if m.fault.get("error_after") == at:
@@ -200,7 +198,7 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--ledger")
     args = parser.parse_args()
-    memory = replica_memory.Memory(args.name, args.ledger)
+    memory = replica_memory.Memory(world.Tasks(), args.name, args.ledger)
     front.Server(args.address, Replica(memory, args.address), THREADS).safe_start()
 
 
