All orders of a few messages, bad input from every side, quicker doubt of silence

Cause: votes, writes, leases, standings and held memory were tried only in the orders the simulator happened to give; bad input was untested. All orders one by one: two candidates, trial votes, a wiped voter, birth, racing writes, stage/activate/lapse, standings, free/pull/lapse/second export. A silent replica was placed upon until its condition aged out (3 s); two failed probes in a row now put it in doubt, and a safe request gives one prefill half of what is left before another. Ruled out: hedged sends for silence; an unsafe request may not run twice.

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -52,6 +52,8 @@
 LIST_TIME = 1.0          # s; longest wait for the list.
 PROBE_BEAT = 0.5         # s; a replica's condition older than this is read again.
 PROBE_TIME = 0.6         # s; longest wait for a condition.
+PROBES_SILENT = 2        # failed probes in a row that put a replica in doubt.
+DOUBT = 1.5              # s; a doubted replica is not placed upon; longer than a probe and its beat.
 CONDITION_LIFE = 3.0     # s; a replica unheard of for longer is not placed upon.
 
 # --- requests ------------------------------------------------------------
@@ -60,6 +62,7 @@
 BODY_MOST = 4194304      # bytes; larger requests get 413.
 CONNECT_TIME = 0.5       # s; connecting to a replica on a local network takes milliseconds.
 STREAM_QUIET = 3.0       # s; a stream silent for longer is taken as broken.
+SAFE_WAIT = 0.5          # share of what is left that a safe request gives one prefill before another.
 HANDLE_LIFE = 5.0        # s; a held handle older than this is not sent to decode (ours).
 QUEUE_WAIT = 0.8         # s; longest wait for a free place: "begin within about a second".
 QUEUE_MOST = 64          # requests waiting per router; past it the bounce is immediate.
--- a/mothshed/common/replicas.py
+++ b/mothshed/common/replicas.py
@@ -33,7 +33,7 @@
         self.mine = {}          # name -> sends of ours running there
         self.doubts = {}        # name -> until when a failed connect keeps us away
         self.lock = threading.RLock()
-        self.probing = set()
+        self.probing, self.silent = set(), {}   # under way / failed in a row
         self.list_at = -1e9
 
     def run(self):
@@ -75,8 +75,12 @@
         own, at = self.mine.get(name, 0), self.desk.now()
         try:
             self.take_condition(name, at, own, replica_adapter.condition(self.desk, url))
+            self.silent.pop(name, None)
         except web.WebFault as e:
             self.journal.add("probe", outcome="failed", replica=name, reason=str(e))
+            self.silent[name] = self.silent.get(name, 0) + 1
+            if self.silent[name] >= constants.PROBES_SILENT:
+                self.doubt(name)
         finally:
             self.probing.discard(name)
 
@@ -98,7 +102,7 @@
             self.leaving.setdefault(name, self.desk.now())
         self.take_condition(name, self.desk.now() - max(0.0, hint["age"]), self.mine.get(name, 0), hint["c"])
 
-    def doubt(self, name, span=1.0):
+    def doubt(self, name, span=constants.DOUBT):
         self.doubts[name] = self.desk.now() + span
 
     def usable(self, selector, role=None):
--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -149,7 +149,7 @@
         if not self.sends["prefill"]:
             self.router.budget.sent()
         self.sends["prefill"] += 1
-        left = self.left()
+        left = self.left() * (constants.SAFE_WAIT if self.request.safe else 1.0)
         self.router.frees.forget(self.request.id, plan.reader.name)
         try:
             self.handle = replica_adapter.prefill(self.desk, self.request, plan.reader, sequence, left)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,181 @@
+"""Bad input from every side: requests, configurations, settings, replicas, peers."""
+
+import copy
+import json
+import socket
+import subprocess
+import sys
+import time
+import types
+
+import pytest
+
+import mothshed.common.configuration as configuration
+import mothshed.common.constants as constants
+import mothshed.common.peers as peers
+import mothshed.common.records as records
+import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.settings as settings
+import mothshed.common.verdict as verdict
+import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.data_plane.intake as intake
+import tests.fronts as fronts
+import tools.fleet as fleet
+import tools.simulator.fleet as sim
+
+HEADERS = {"x-request-id": "a1", "x-tenant": "dispatch", "x-kind": "flag"}
+BODY = {"model": "shift-notes", "prompt": "hello", "max_tokens": 2}
+
+
+@pytest.fixture(scope="module")
+def day():
+    found = sim.SimFleet("bad-input")
+    found.ready()
+    return found
+
+
+@pytest.mark.parametrize("change, status", [
+    ({"data": b"{"}, 400), ({"data": b"[1]"}, 400), ({"data": b"\xff\xfe"}, 400), ({"data": b"[" * 100000}, 400),
+    ({"body": {"model": "other"}}, 404), ({"body": {"prompt": ""}}, 400), ({"body": {"prompt": 7}}, 400),
+    ({"body": {"n": 2}}, 400), ({"body": {"max_tokens": 0}}, 400), ({"body": {"max_tokens": True}}, 400),
+    ({"body": {"stream": "yes"}}, 400), ({"headers": {"x-tenant": "nobody"}}, 403), ({"headers": {"x-tenant": ""}}, 403),
+    ({"headers": {"x-kind": "poem"}}, 400), ({"headers": {"x-request-id": "a b"}}, 400),
+    ({"headers": {"x-request-id": ""}}, 400), ({"headers": {"x-safe-to-repeat": "maybe"}}, 400),
+    ({"headers": {"x-cutoff-ms": "soon"}}, 400), ({"headers": {"x-cutoff-ms": "nan"}}, 400),
+    ({"headers": {"x-cutoff-ms": "-1"}}, 400), ({"headers": {"x-cutoff-ms": "9e9"}}, 400),
+    ({"data": b" " * (constants.BODY_MOST + 1)}, 413),
+    ({"path": "/v1/chat/completions"}, 400), ({"path": "/v1/chat/completions", "body": {"messages": [{"role": "user"}]}}, 400),
+    ({"path": "/v1/nothing"}, 404), ({"method": "GET"}, 405), ({"path": "/condition"}, 405), ({"path": "/metrics"}, 405),
+])
+def test_requests_that_are_refused_say_not_run(day, change, status):
+    app = day.net.apps[day.settings["route-1"]["http"]][1]
+    data = change.get("data", {**BODY, **change.get("body", {})})
+    got = fronts.call(app, change.get("method", "POST"), change.get("path", "/v1/completions"), data,
+                      {**HEADERS, **change.get("headers", {})})
+    assert got[0] == status and got[2]["error"]["verdict"] == "not_run"
+    assert day.parts["route-1"].flight == 0 and not any(r["kind"] == "seen" for r in day.ledger)
+
+
+def test_without_a_configuration_a_request_is_bounced_with_retry_after():
+    early = sim.SimFleet("early")
+    early.run(0.1)
+    app = early.net.apps[early.settings["route-1"]["http"]][1]
+    status, headers, body = fronts.call(app, "POST", "/v1/completions", BODY, HEADERS)
+    assert (status, body["error"]["verdict"], headers["retry-after"]) == (503, "not_run", "1")
+
+
+@pytest.mark.parametrize("body, paths", [
+    (b"{", []), ([1], ["document"]), ({"base": -1, "document": configuration.EXAMPLE}, ["base"]),
+    ({"base": 0, "document": {}, "more": 1}, ["more", "document.kinds", "document.model", "document.pairings",
+                                              "document.pools", "document.tenants"]),
+    ({"base": 0, "document": {**configuration.EXAMPLE, "pairings": [{"pool": "x", "policy": "magic"}]}},
+     ["document.pairings.0.policy"]),
+    ({"base": 0, "document": {**configuration.EXAMPLE, "pairings": [{"pool": "x", "policy": "least_usage", "kinds": ["no"]}]}},
+     ["document.pairings.0.pool", "document.pairings.0.kinds"]),
+])
+def test_a_bad_configuration_names_every_fault_and_applies_nothing(day, body, paths):
+    app = keeper_front.KeeperFront(day.parts[day.owner()])
+    status, headers, said = fronts.call(app, "PUT", "/configuration", body)
+    assert status == 400 and said["error"]["verdict"] == "not_run"
+    assert [f.split(":")[0] for f in said["error"].get("faults", [])] == paths
+    assert day.parts[day.owner()].members[0].machine.latest == 1
+
+
+def test_a_stale_base_gets_409_with_the_current_sequence(day):
+    box = []
+    body = {"base": 0, "document": fleet.document("patinetes")}
+    day.operator(lambda: box.append(day.ask("PUT", "/configuration", body)))
+    day.run(2)
+    assert box[0][0] == 409 and box[0][1]["error"]["current"] == 1
+
+
+def test_settings_list_every_fault(tmp_path):
+    path = tmp_path / "s.json"
+    path.write_text(json.dumps({"name": "x y", "address": "host:1", "http": "127.0.0.1:99999", "cell": "", "seeds": [], "odd": 1}))
+    with pytest.raises(settings.SettingsFault) as fault:
+        settings.load(path, {}, keeper=True)
+    named = {f.split(":")[0] for f in fault.value.found}
+    assert named == {"name", "address", "http", "cell", "seeds", "odd", "list_url", "data"}
+    done = subprocess.run([sys.executable, "-m", "mothshed.programs.keep", "--settings", str(path)], capture_output=True, text=True)
+    assert done.returncode == 2 and "seeds" in done.stderr + done.stdout
+
+
+GOOD = [b'data: {"id": "cmpl-a1", "choices": [{"text": "x ", "finish_reason": null}]}',
+        b'data: {"id": "cmpl-a1", "choices": [{"text": "y ", "finish_reason": "stop"}]}', b"data: [DONE]"]
+
+
+def stream(lines):
+    request = types.SimpleNamespace(id="a1")
+    response = types.SimpleNamespace(lines=lambda: iter(lines), close=lambda: None)
+    place = types.SimpleNamespace(name="r")
+    return list(replica_adapter.Stream(types.SimpleNamespace(now=lambda: 0.0), request, place, response, 5.0))
+
+
+def test_a_whole_stream_is_read():
+    assert stream(GOOD) == [("x ", None), ("y ", "stop")]
+
+
+@pytest.mark.parametrize("lines", [
+    GOOD[:1], GOOD[:2], GOOD[2:], GOOD[:1] + GOOD[2:], GOOD + GOOD[:1], GOOD[:2] + GOOD[:1] + GOOD[2:], [b"nonsense"],
+    [b"data: {"], [b'data: {"error": {"message": "x"}}'], [b"data: []"], [b'data: {"id": "cmpl-a1", "choices": []}'],
+    [b'data: {"id": "cmpl-a11", "choices": [{"text": "x ", "finish_reason": "stop"}]}', b"data: [DONE]"],
+    [b'data: {"id": "cmpl-a1", "choices": [{"text": 5, "finish_reason": "stop"}]}', b"data: [DONE]"], []])
+def test_a_stream_that_is_not_whole_or_not_ours_is_never_a_success(lines):
+    with pytest.raises(verdict.SendFailure) as failure:
+        stream(lines)
+    assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+HANDLE = {"remote_engine_id": "e", "remote_block_ids": [1], "remote_host": "h", "remote_port": 1, "remote_request_id": "a1"}
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda s: s.pop("kv_transfer_params"), lambda s: s.update(id="cmpl-a2"), lambda s: s["kv_transfer_params"].pop("remote_port"),
+    lambda s: s["kv_transfer_params"].update(remote_request_id="a2"), lambda s: s["kv_transfer_params"].update(remote_engine_id="f"),
+    lambda s: s["kv_transfer_params"].update(remote_block_ids=None), lambda s: s.update(kv_transfer_params=[])])
+def test_a_handle_that_is_missing_or_foreign_is_not_taken(spoil):
+    said = {"id": "cmpl-a1", "kv_transfer_params": copy.deepcopy(HANDLE)}
+    request = types.SimpleNamespace(id="a1", body={}, path="/v1/completions")
+    place = types.SimpleNamespace(name="r", url="http://r", engine="e")
+    web = types.SimpleNamespace(send=lambda *a, **k: types.SimpleNamespace(status=200, body=lambda: said))
+    desk = types.SimpleNamespace(now=lambda: 0.0, web=web)
+    assert replica_adapter.prefill(desk, request, place, 1, 1.0).params["remote_block_ids"] == [1]
+    spoil(said)
+    with pytest.raises(verdict.SendFailure) as failure:
+        replica_adapter.prefill(desk, request, place, 1, 1.0)
+    assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+def spoiled():
+    good = records.pack("ask", part=0, mark=1, held=0, staged=0)
+    yield b"XXXX" + good[4:]
+    yield good[:4] + b"\xff\xff" + good[6:]
+    yield good[:6] + b"\xff\xff\xff\xff" + good[10:]
+    yield good[:-1] + bytes([good[-1] ^ 1])
+    yield records.HEAD.pack(records.MARK, records.NAMES["ask"], 3, records.zlib.crc32(b"abc")) + b"abc"
+
+
+def test_a_bad_peer_record_closes_its_connection_and_nothing_else():
+    host = f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
+    heard, own = [], peers.Peers(host)
+    own.hear("ask", 0, lambda who, body: heard.append(body["mark"]))
+    hello = records.pack("hello", address="127.0.0.1:1")
+    try:
+        for number, bad in enumerate(spoiled(), 1):
+            with socket.create_connection(peers.split(host), 5) as conn:
+                conn.settimeout(5)
+                conn.sendall(hello + bad)
+                assert conn.recv(1) == b""          # closed on us
+            assert own.counts["record_fault"] == number
+        with socket.create_connection(peers.split(host), 5) as conn:
+            conn.sendall(hello + records.pack("ask", part=0, mark=7, held=0, staged=0))
+            until = time.monotonic() + 5
+            while not heard and time.monotonic() < until:
+                conn.settimeout(0.01)
+                try:
+                    conn.recv(1)
+                except TimeoutError:
+                    pass
+        assert heard == [7]
+    finally:
+        own.stop()
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,213 @@
+"""All orders of a few messages: votes, wiped voters, writes, leases, standings, memory."""
+
+import random
+import types
+
+import mothshed.common.constants as constants
+import mothshed.common.lease as lease_module
+import mothshed.control_plane.config_part as config_part
+import mothshed.control_plane.member as member_module
+import mothshed.control_plane.service_part as service_part
+import tests.all_orders as all_orders
+import tools.replica_memory as replica_memory
+
+WHO = {"A": "a:1", "B": "b:1", "C": "c:1"}
+
+
+def group(pool, entries, names="ABC", marks="111"):
+    """Members with these logs; entries: name -> list of (index, term, command)."""
+    seats = {n + "/1": {"address": WHO[n], "http": ""} for n in "ABC"}
+    birth = {"i": 1, "t": 0, "c": {"op": "members", "members": seats}}
+    found = {}
+    for name, mark in zip(names, marks):
+        disk = all_orders.disk()
+        rows = [birth] + [{"i": i, "t": t, "c": c} for i, t, c in entries.get(name, [])]
+        if mark == "1":
+            log = member_module.disk_log.PartLog(disk, 0)
+            log.put_term(max(r["t"] for r in rows), "")
+            log.put(rows)
+        seat = member_module.Member(all_orders.HandDesk(pool, WHO[name]), disk, 0, f"{name}/{mark}", "",
+                                    WHO.values(), config_part.ConfigMachine())
+        seat.begin()
+        found[name] = seat
+    return found
+
+
+def one_owner_a_term(seats):
+    owners = [s.log.term for s in seats.values() if s.owns]
+    assert len(owners) == len(set(owners))
+
+
+def test_two_candidates_never_both_win_one_term():
+    def make():
+        pool = all_orders.Pool()
+        seats = group(pool, {})
+        pool.time += 10
+        seats["A"].stand(trial=False)
+        seats["B"].stand(trial=False)
+        return pool, seats
+    assert all_orders.explore(make, one_owner_a_term, 6) > 500
+
+
+def test_trial_and_real_votes_in_any_order():
+    def make():
+        pool = all_orders.Pool()
+        seats = group(pool, {})
+        pool.time += 10
+        seats["A"].stand(trial=True)
+        seats["C"].stand(trial=True)
+        return pool, seats
+    assert all_orders.explore(make, one_owner_a_term, 6) > 500
+
+
+def test_a_wiped_member_never_votes_a_stale_one_in():
+    """A and C acknowledged entry 2; C comes back empty. B, without it, must not win."""
+    def make():
+        pool = all_orders.Pool()
+        seats = group(pool, {"A": [(2, 1, {"op": "note"})]}, "BC", "12")
+        pool.time += 10
+        seats["C"].keep_joining(pool.time)
+        seats["B"].stand(trial=True)
+        pool.time += 10
+        seats["B"].stand(trial=False)
+        seats["C"].keep_joining(pool.time)
+        return pool, seats
+
+    def check(seats):
+        assert not seats["B"].owns and not seats["C"].owns
+        assert seats["C"].log.vote == "" and seats["C"].chart.state in ("empty", "learner")
+    assert all_orders.explore(make, check, 4) > 100
+
+
+def test_a_group_is_born_only_when_all_are_empty():
+    def make():
+        pool = all_orders.Pool()
+        seats = group(pool, {}, "ABC", "222")
+        for seat in seats.values():
+            seat.keep_joining(pool.time)
+        return pool, seats
+
+    def check(seats):
+        births = [tuple(sorted(s.members)) for s in seats.values() if s.members]
+        assert set(births) <= {("A/2", "B/2", "C/2")}
+    assert all_orders.explore(make, check, 3) > 50
+    pool, seats = all_orders.Pool(), None
+    seats = group(pool, {}, "ABC", "122")       # one is not empty: nobody is born
+    for turn in range(3):
+        pool.time += 1
+        for seat in seats.values():
+            seat.keep_joining(pool.time)
+        while pool.waiting:
+            pool.deliver(0)
+    assert not seats["B"].members and not seats["C"].members
+
+
+def test_of_racing_writes_exactly_one_wins_in_any_order():
+    rows = [{"op": "stage", "base": 0, "doc": {"n": n}, "by": "", "id": f"w{n}"} for n in range(3)]
+    rows.append(dict(rows[0]))                  # the same write sent again
+    for order in all_orders.orders(rows):
+        machine = config_part.ConfigMachine()
+        said = [(r["id"], machine.apply(n + 1, r)) for n, r in enumerate(order)]
+        winner = order[0]["id"]
+        assert all(answer == ({"sequence": 1} if name == winner else {"conflict": 1}) for name, answer in said)
+        assert machine.latest == 1 and machine.docs[1]["id"] == winner
+
+
+class Seat:
+    """The duty's owner, always sure: commits at once unless told to hold."""
+
+    def __init__(self, desk):
+        self.desk, self.machine, self.duties = desk, config_part.ConfigMachine(), []
+        self.owns, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
+
+    def confirm(self, call):
+        call(True)
+
+    def propose(self, command, call):
+        call(self.machine.apply(0, command))
+
+
+def test_stage_activate_and_lapse_in_any_order():
+    """However records, losses and time fall: once a document is active, no older lease outlasts LEASE_SHORT."""
+    acts = ["stage", "deliver", "deliver", "lose", "wait-long", "ask", "wait-short", "deliver"]
+    seen = set()
+    for order in sorted(set(all_orders.orders(acts))):
+        pool = all_orders.Pool()
+        duty = config_part.ConfigDuty(Seat(all_orders.HandDesk(pool, "a:1")))
+        lease = lease_module.Lease(all_orders.HandDesk(pool, "r:1"), lambda: ["a:1"])
+        duty.member.machine.apply(0, stage(0))
+        duty.member.machine.active = 1
+        duty.start()
+        duty.started -= 10
+        lease.ask()
+        while pool.waiting:
+            pool.deliver(0)
+        assert lease.sequence() == 1
+        active_at = None
+        for act in order:
+            if act == "stage":
+                duty.member.machine.apply(0, stage(1))
+            elif act == "deliver" and pool.waiting:
+                pool.deliver(0)
+            elif act == "lose" and pool.waiting:
+                pool.waiting.pop(0)
+            elif act == "ask":
+                lease.ask()
+            elif act.startswith("wait"):
+                for _ in range(4):
+                    pool.time += (0.5 if act == "wait-long" else 0.06) / 4
+                    duty.try_activate()
+            if duty.machine.active == 2 and active_at is None:
+                active_at = pool.time
+            if active_at is not None and lease.active == 1:
+                assert lease.until <= active_at + constants.LEASE_SHORT + 1e-9
+        seen.add((duty.machine.active, lease.active))
+    assert seen >= {(1, 1), (2, 1), (2, 2)}
+
+
+def stage(base):
+    return {"op": "stage", "base": base, "doc": {"n": base}, "by": "", "id": f"w{base}"}
+
+
+def test_a_standing_only_rises_whatever_order_its_orders_come_in():
+    machine = service_part.ServiceMachine()
+    sent = [(machine.apply(n, {"op": "take", "who": who})["standing"], who) for n, who in enumerate("ABA")]
+    assert [s for s, w in sent] == [1, 2, 3]
+    for order in all_orders.orders([(s, w, role) for s, w in sent for role in ("prefill", "decode")]):
+        memory = memory_of()
+        best = 0
+        for standing, who, role in order:
+            taken = memory.order(role, standing, who, 1)
+            assert taken == (standing >= best)
+            best = max(best, standing)
+
+
+def memory_of():
+    desk = types.SimpleNamespace(now=lambda: desk.time, time=0.0, random=random.Random(1))
+    memory = replica_memory.Memory(desk, "r")
+    memory.test_desk = desk
+    return memory
+
+
+def test_free_pull_lapse_and_a_second_export_in_any_order():
+    for order in all_orders.orders(["pull", "free", "lapse", "again", "foreign"]):
+        memory = memory_of()
+        blocks = memory.export("q", "first prompt")
+        digest, alive = replica_memory.digest_of("first prompt"), True
+        for act in order:
+            if act == "pull":
+                assert memory.pull(memory.engine, "q", blocks) == (digest if alive else None)
+            elif act == "free":
+                held = "q" in memory.held
+                assert memory.free(memory.engine, "q") == held and "q" not in memory.held
+                alive = False
+            elif act == "lapse":
+                memory.test_desk.time += replica_memory.HOLD + 1
+                memory.lapse()
+                alive = False
+            elif act == "again":        # the same request exported anew: the old handle is worth nothing
+                memory.export("q", "second prompt")
+                alive = False
+            else:
+                assert memory.pull("another-engine", "q", blocks) is None
+                assert memory.free("another-engine", "q") is False
--- a/tools/simulator/days_of_cuts.py
+++ b/tools/simulator/days_of_cuts.py
@@ -18,7 +18,7 @@
 def cut_after_staging(f):
     """A router that acknowledged a staged document is cut off before it hears of its activation."""
     name = f.random.choice(f.names("route"))
-    active = f.parts[f.owner()].members[0].machine.active
+    active = max(w["sequence"] for w in f.writes)
 
     def watch():
         owner = f.owner()
