Runbooks that run, frees that outlive their router, and a stuck membership mended

Cause: (1) the swap runbook on a real fleet left parts 2 and 3 without an owner. A learner was admitted on an empty acknowledgement (its lag was below a slack of 8 entries on a log of 3), so four members needed three and only one had the log. A learner is now admitted only once it holds all that is committed and answers. (4) A killed router's exports were left to lapse: a neighbour keeps what it owes. Ruled out: a shorter silence before replacement; it only moved the race.

--- a/mothshed/common/configuration.py
+++ b/mothshed/common/configuration.py
@@ -17,7 +17,7 @@
 NAME = voluptuous.All(str, voluptuous.Length(min=1, max=100))
 WHOLE = voluptuous.All(int, voluptuous.Range(min=0, max=10000))
 SECONDS = voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0.05, max=60))
-LABELS = {NAME: NAME}
+LABELS = voluptuous.Any({}, {NAME: NAME})
 
 KIND = {"cutoff_s": SECONDS, voluptuous.Optional("first_token_s"): SECONDS}
 TENANT = {"share": voluptuous.All(int, voluptuous.Range(min=1, max=100))}
--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -18,7 +18,6 @@
 SEGMENT_BYTES = 262144   # bytes; a log segment is closed past this size.
 JOIN_BEAT = 0.5          # s; an outside or empty member asks again this often.
 MEMBER_SILENT = 5.0      # s; a silent member may be replaced by a caught-up one after this.
-LEARN_SLACK = 8          # entries a learner may lag and still be admitted.
 FIRST_MEMBERS = 3        # members; the brief's deployments have three disk machines.
 PARTS = 4                # parts; part 0 is configuration, services hash over the rest.
 COMMIT_WAIT = 3.0        # s; an operator's write unresolved by then is answered "unknown".
@@ -82,6 +81,9 @@
 FREE_TIME = 0.6          # s; one free order's wait.
 FREE_BEAT = 0.4          # s; unsent frees are tried again this often.
 FREE_LIFE = 20.0         # s; then the replica's own lapse has surely taken the blocks.
+GUARD_SLACK = 0.5        # s; past a request's cutoff before a neighbour frees what is owed.
+GUARD_BEAT = 0.5         # s; a neighbour looks for what is overdue this often.
+GUARD_MOST = 4096        # owed exports kept for neighbours; two a second each from 200 routers.
 FREES_MOST = 1024        # unsent frees kept; the oldest go first.
 
 # --- process -------------------------------------------------------------
--- a/mothshed/common/gossip.py
+++ b/mothshed/common/gossip.py
@@ -33,15 +33,20 @@
         self.rounds += 1
         if self.waiting:                        # it never answered: a suspect, let it go
             self.view.pop(self.waiting, None)
+            self.waiting = None
         for row in self.view.values():
             row["age"] += 1
         for address in [a for a, r in self.view.items() if r["age"] > constants.VIEW_AGE_MOST]:
             del self.view[address]
-        goal = max(self.view, key=lambda a: self.view[a]["age"]) if self.view else None
-        if self.seeds and (goal is None or self.rounds % 8 == 0):
-            goal = self.desk.random.choice(self.seeds)
-        if goal:
-            self.waiting = goal
+        if not self.view:                       # alone: any seed that lives will do
+            self.waiting = None
+            goals = self.seeds
+        elif self.seeds and self.rounds % 8 == 0:
+            goals = [self.desk.random.choice(self.seeds)]
+        else:
+            self.waiting = max(self.view, key=lambda a: self.view[a]["age"])
+            goals = [self.waiting]
+        for goal in goals:
             self.desk.tell(goal, "shuffle", view=self.some(goal), hints=self.hints(), reply=False)
 
     def some(self, goal):
--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -24,6 +24,8 @@
 FIELDS = {
     "hello": "address:s",
     "shuffle": "view:j hints:j reply:?",
+    "owe": "request:s replica:s url:s engine:s left:d",
+    "paid": "request:s replica:s",
     # agreement
     "born_ask": "part:q who:s address:s http:s",
     "born_say": "part:q who:s address:s http:s empty:? members:j",
--- a/mothshed/common/verdict.py
+++ b/mothshed/common/verdict.py
@@ -54,8 +54,9 @@
 class Bounce(Exception):
     """A request refused: nothing ran and nothing will."""
 
-    def __init__(self, status, reason, retry=0):
+    def __init__(self, status, reason, retry=0, cause="other"):
         super().__init__(reason)
+        self.cause = cause      # for the metrics: why service was refused
         self.status = status
         self.reason = reason
         self.retry = retry
--- a/mothshed/control_plane/joining.py
+++ b/mothshed/control_plane/joining.py
@@ -90,17 +90,16 @@
             self.change({m: v for m, v in members.items() if m != gone})
             return
         for who, seat in list(self.learners.items()):
-            if now - seat["at"] > 4 * constants.JOIN_BEAT and who not in members:
-                if self.quiet(who, now) > 4 * constants.JOIN_BEAT:
-                    del self.learners[who]              # it stopped asking and answering
+            if min(now - seat["at"], self.quiet(who, now)) > 4 * constants.JOIN_BEAT:
+                del self.learners[who]                  # it stopped asking and answering
                 continue
             place = {"address": seat["address"], "http": seat["http"]}
             if who in members:
                 del self.learners[who]
                 self.change({**members, who: place})
                 return
-            if self.log.last - self.match.get(who, 0) > constants.LEARN_SLACK:
-                continue
+            if self.quiet(who, now) > constants.OWNER_QUIET or self.match.get(who, -1) < self.commit:
+                continue                                # it must have learned all before it counts
             same = any(name_of(m) == name_of(who) for m in members)
             if same or silent or len(members) < constants.FIRST_MEMBERS:
                 del self.learners[who]
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -159,4 +159,4 @@
     def condition(self):
         return {"part": self.part, "state": self.chart.state, "term": self.log.term,
                 "owner": self.owner, "commit": self.commit, "last": self.log.last,
-                "members": sorted(self.members)}
+                "members": sorted(self.members), "seats": {m: seat["http"] for m, seat in self.members.items()}}
--- a/mothshed/data_plane/admission.py
+++ b/mothshed/data_plane/admission.py
@@ -38,7 +38,7 @@
                     return plan
             queue = self.queues.setdefault(request.tenant, collections.deque())
             if self.waiting() >= constants.QUEUE_MOST or len(queue) >= constants.QUEUE_TENANT:
-                raise verdict.Bounce(503, "queue is full", constants.RETRY_AFTER)
+                raise verdict.Bounce(503, "queue is full", constants.RETRY_AFTER, "queue_full")
             ticket = Ticket(request.tenant, share, self.desk.gate())
             queue.append(ticket)
         try:
@@ -61,7 +61,7 @@
                     if plan:
                         return plan
             if self.desk.now() >= until:
-                raise verdict.Bounce(503, "no free pair of replicas", constants.RETRY_AFTER)
+                raise verdict.Bounce(503, "no free pair of replicas", constants.RETRY_AFTER, "no_pair")
             ticket.gate.clear()
             ticket.gate.wait(min(constants.PLACE_BEAT, max(0.001, until - self.desk.now())))
 
--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -79,7 +79,8 @@
             self.chart.step("fail")
             raise verdict.RequestFailure("request failed", self.fails)
         self.chart.step("bounce")
-        raise verdict.Bounce(503, self.fails[-1].reason if self.fails else "no pair", constants.RETRY_AFTER)
+        raise verdict.Bounce(503, self.fails[-1].reason if self.fails else "no pair", constants.RETRY_AFTER,
+                             "sends_failed")
 
     def admit(self):
         """A plan with both places reserved; a Bounce means nothing ran at all."""
@@ -151,11 +152,15 @@
         self.sends["prefill"] += 1
         left = self.left() * (constants.SAFE_WAIT if self.request.safe else 1.0)
         self.router.frees.forget(self.request.id, plan.reader.name)
+        self.router.guard.owe(self.request.id, plan.reader, self.request.cutoff - self.desk.now())
         try:
             self.handle = replica_adapter.prefill(self.desk, self.request, plan.reader, sequence, left)
         except verdict.SendFailure as e:
-            if e.verdict is not NOT_RUN:        # it may hold, or come to hold, what we never heard of
-                self.router.frees.order(replica_adapter.unheard(self.desk, self.request, plan.reader))
+            doubt = replica_adapter.unheard(self.desk, self.request, plan.reader)
+            if e.verdict is NOT_RUN:
+                self.router.guard.paid(doubt)
+            else:                               # it may hold, or come to hold, what we never heard of
+                self.router.frees.order(doubt)
             raise
         self.ran = True             # a prefill is a run
         self.chart.step("hold")
--- a/mothshed/data_plane/frees.py
+++ b/mothshed/data_plane/frees.py
@@ -19,6 +19,7 @@
         self.queue = collections.deque(maxlen=constants.FREES_MOST)
         self.late = []          # (due, pause, handle): failed once, tried again
         self.gate = desk.gate()
+        self.settled = lambda handle: None      # told once a free is done or pointless
 
     def order(self, handle):
         self.queue.append(handle)
@@ -42,7 +43,9 @@
         except web.WebFault:
             done = False
         self.journal.add("free", outcome="done" if done else "failed")
-        if not done and self.desk.now() - handle.born < constants.FREE_LIFE:
+        if done or self.desk.now() - handle.born >= constants.FREE_LIFE:
+            self.settled(handle)
+        else:
             self.late.append((self.desk.now() + span, 2 * span, handle))
 
     def forget(self, request, replica):
--- /dev/null
+++ b/mothshed/data_plane/guard.py
@@ -0,0 +1,58 @@
+"""Frees that outlive their router: a neighbour keeps what each router owes.
+
+Before a prefill is sent, its router tells one neighbouring router which replica
+will hold blocks for which request and until when the request can need them; when
+the blocks are freed it says so. What is still owed past that moment belongs to a
+router that is gone or cut off, and the neighbour frees it. Freeing what is already
+free does no harm, and past its cutoff a request needs no memory, so nothing has to
+be agreed here. Bounded: past GUARD_MOST the oldest are dropped and left to lapse.
+"""
+
+import collections
+
+import mothshed.common.constants as constants
+import mothshed.common.replica_adapter as replica_adapter
+
+
+class Guard:
+    def __init__(self, desk, gossip, frees, journal):
+        self.desk, self.gossip, self.frees, self.journal = desk, gossip, frees, journal
+        self.kept = collections.OrderedDict()   # (router, request, replica) -> (due, url, engine)
+        self.goal = ""
+        frees.settled = self.paid
+        desk.hear("owe", self.on_owe)
+        desk.hear("paid", self.on_paid)
+        desk.post(self.tick)
+
+    def neighbour(self):
+        """The router that keeps what we owe: the same one while it is in view, else another zone's first."""
+        view = dict(self.gossip.view)
+        if self.goal not in view:
+            routers = sorted(a for a, r in view.items() if r["kind"] == "route")
+            away = [a for a in routers if view[a]["cell"] != self.gossip.cell]
+            self.goal = next(iter(away or routers), "")
+        return self.goal
+
+    def owe(self, request, place, left):
+        self.desk.tell(self.neighbour(), "owe", request=request, replica=place.name, url=place.url,
+                       engine=place.engine, left=left)
+
+    def paid(self, handle):
+        self.desk.tell(self.goal, "paid", request=handle.request, replica=handle.replica)
+
+    def on_owe(self, sender, body):
+        due = self.desk.now() + min(body["left"], constants.CUTOFF_MOST) + constants.GUARD_SLACK
+        self.kept[(sender, body["request"], body["replica"])] = (due, body["url"], body["engine"])
+        while len(self.kept) > constants.GUARD_MOST:
+            self.kept.popitem(last=False)
+
+    def on_paid(self, sender, body):
+        self.kept.pop((sender, body["request"], body["replica"]), None)
+
+    def tick(self):
+        now = self.desk.now()
+        for key in [k for k, row in self.kept.items() if row[0] <= now]:
+            due, url, engine = self.kept.pop(key)
+            self.journal.add("guard", outcome="freed", replica=key[2])
+            self.frees.order(replica_adapter.Handle(key[1], key[2], url, engine, {"remote_block_ids": []}, now))
+        self.desk.beat(constants.GUARD_BEAT, self.tick)
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -11,6 +11,7 @@
 import mothshed.data_plane.admission as admission
 import mothshed.data_plane.budget as budget
 import mothshed.data_plane.frees as frees
+import mothshed.data_plane.guard as guard
 import mothshed.data_plane.router_front as router_front
 
 
@@ -26,6 +27,7 @@
         self.admission = admission.Admission(desk)
         self.budget = budget.Budget(desk.now)
         self.frees = frees.Frees(desk, self.journal)
+        self.guard = guard.Guard(desk, self.gossip, self.frees, self.journal)
         self.flight = 0
         self.stopping = False
         self.lock = threading.Lock()
@@ -61,6 +63,7 @@
         return {"name": self.settings["name"], "serving": sequence is not None and not self.stopping,
                 "sequence": sequence, "active": self.lease.active, "staged": self.lease.staged,
                 "flight": self.flight, "waiting": self.admission.waiting(), "frees_left": self.frees.left(),
+                "kept_for_neighbours": len(self.guard.kept),
                 "neighbours": sorted(self.gossip.view), "replicas": sorted(self.replicas.usable({})),
                 "leaving": sorted(self.replicas.leaving)}
 
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -68,7 +68,7 @@
     def read(self, path, environ, headers):
         document = self.router.lease.document()
         if document is None:
-            raise verdict.Bounce(503, "no configuration yet", constants.RETRY_AFTER)
+            raise verdict.Bounce(503, "no configuration yet", constants.RETRY_AFTER, "no_configuration")
         return intake.parse(self.router.desk.now(), path, headers, front.body_of(environ), document)
 
     def failed(self, start, e, headers):
@@ -81,6 +81,8 @@
                                headers=extra + [("Connection", "close")])
         if isinstance(e, verdict.Bounce):
             add("request", outcome="bounced" if e.status == 503 else "invalid")
+            if e.status == 503:
+                add("bounce", outcome="no_lease" if self.router.lease.sequence() is None else e.cause)
             return front.fault(start, e.status, e.reason, retry=e.retry, headers=extra)
         if isinstance(e, verdict.RequestFailure):
             add("request", outcome="failed")
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -56,3 +56,16 @@
                 return 0, {"sequence": row["sequence"], "id": mark}
         return (6 if said.get("error", {}).get("verdict") == "may_have_run" else 1), said
     return {200: 0, 409: 5, 400: 2}.get(status, 1), said
+
+
+def once_each(addresses, path, text=False):
+    """address -> what it answers now, or None; a 503 condition is an answer too."""
+    pool, found = urllib3.PoolManager(), {}
+    for address in addresses:
+        try:
+            response = pool.request("GET", f"http://{address}{path}", redirect=False, retries=False,
+                                    timeout=urllib3.Timeout(connect=1.0, read=2.0))
+            found[address] = response.data.decode() if text else response.json()
+        except web.FAULTS:
+            found[address] = None
+    return found
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -104,6 +104,38 @@
             raise cappa.Exit(code=1)
 
 
+@cappa.command(name="run", help="Runs a runbook: swap-keeper, recover-disk-machine, roll-out, roll-back, drain-router, "
+               "replace-replica, diagnose-bounces, or a .yaml file.")
+@dataclasses.dataclass
+class RunBook:
+    book: str
+    keeper: Keepers
+    router: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
+        dataclasses.field(default_factory=list))
+    set: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="name=value for what the runbook needs")] = (
+        dataclasses.field(default_factory=list))
+    dry_run: typing.Annotated[bool, cappa.Arg(long=True, help="check the preconditions, show the steps, do nothing")] = False
+
+    def __call__(self):
+        import tools.runbook as runbook         # a tool, only needed here
+        wrong = [s for s in self.set if "=" not in s]
+        if wrong:
+            raise cappa.Exit(f"--set takes name=value, not {wrong[0]!r}", code=2)
+        try:
+            given = dict(s.split("=", 1) for s in self.set)
+            run = runbook.Run(runbook.load(self.book), given, self.keeper, self.router, by_hand)
+            run.go(self.dry_run)
+        except runbook.BookFault as e:
+            raise cappa.Exit(str(e), code=2) from e
+        except runbook.StepFailed as e:
+            raise cappa.Exit(f"stopped: {e}", code=1) from e
+        print("done" if not self.dry_run else "dry run: nothing was done")
+
+
+def by_hand(text):
+    input(f"       {text}\n       press Enter when it is done ")
+
+
 @cappa.command(name="fleet", help="Starts a whole fleet on this machine, runs a bounded load, prints a report.")
 @dataclasses.dataclass
 class Fleet:
@@ -122,7 +154,7 @@
 @cappa.command(name="mothshed", help="Operates a mothshed fleet.")
 @dataclasses.dataclass
 class Mothshed:
-    command: cappa.Subcommands[typing.Union[Config, Condition, Fleet]]
+    command: cappa.Subcommands[typing.Union[Config, Condition, RunBook, Fleet]]
 
 
 def main():
--- a/tools/protections.py
+++ b/tools/protections.py
@@ -26,6 +26,7 @@
 import mothshed.data_plane.budget as budget
 import mothshed.data_plane.carry as carry
 import mothshed.data_plane.frees as frees
+import mothshed.data_plane.guard as guard
 import tools.simulate as simulate
 import tools.simulator.desk as desk
 
@@ -134,6 +135,8 @@
     "a leaving replica is left alone": (put(replicas.Replicas, take_list=deaf_to_leaving), "leaving", "leaving"),
     "extra sends have a budget": (put(budget.Budget, extra=lambda self: True), "replicas_bounce", "few extras"),
     "every handle is freed": (put(frees.Frees, order=lambda self, handle: None), "calm", "freed"),
+    "a neighbour keeps a lost router's frees": (put(guard.Guard, owe=lambda self, request, place, left: None),
+                                                "kill_router", "freed"),
     "given-up requests are answered at once": (put(admission.Admission, enter=bounce_late), "calm", "answered at once"),
     "newcomers are admitted": (put(joining.Joining, on_join_ask=lambda self, sender, body: None),
                                "keepers_swapped", "service returns"),
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -42,6 +42,7 @@
         self.plan, self.deployment, self.seed = real_fleet.DEPLOYMENTS[deployment], deployment, seed
         self.machines, self.disks, self.parts, self.settings = {}, {}, {}, {}
         self.ledger, self.rows, self.writes, self.refused, self.unknown = [], [], [], [], []
+        self.router_deaths = []
         self.lapse = False      # whether held memory may end by lapsing
         self.outside = self.machine("outside")
         self.ops = self.desk(self.outside, "10.0.0.1:1")
@@ -127,7 +128,9 @@
             if name in self.disks:
                 self.disks[name].crash()
             elif name.startswith("route"):
-                self.lapse = True       # the frees it still owed are lost with it
+                # what it owed is kept by one neighbour; with both gone it may lapse
+                self.lapse = self.lapse or any(self.loop.time - at < 15 for at in self.router_deaths)
+                self.router_deaths.append(self.loop.time)
             else:
                 Ledger(self.loop, name, self.ledger).add("gone")
 
@@ -236,6 +239,19 @@
         self.operator(load.run)
         return load
 
+    def control(self):
+        """At the end every part has one owner and exactly the living keepers as members."""
+        found, alive = [], [n for n in self.names("keep") if self.machines[n].alive]
+        for part in range(len(self.parts[alive[0]].members)):
+            seats = {n: self.parts[n].members[part] for n in alive}
+            owners = [n for n, s in seats.items() if s.owns]
+            want = sorted(s.who for s in seats.values())
+            if len(owners) != 1:
+                found.append(f"part {part}: owners {owners}, states {[s.chart.state for s in seats.values()]}")
+            elif sorted(seats[owners[0]].members) != want:
+                found.append(f"part {part}: members {sorted(seats[owners[0]].members)}, alive {want}")
+        return found
+
     def judge(self, rest=3.0):
         """Lets everything come to rest, reads the configuration back, applies every rule."""
         box = []
@@ -244,6 +260,7 @@
         final = box[0][1] if box and box[0][0] == 200 else None
         rules = judge.all_rules(self.rows, self.ledger, self.writes, self.list.history(), final, self.refused)
         rules["freed"] = judge.freed(self.ledger, self.loop.time - rest, self.lapse)
+        rules["control whole"] = self.control()
         rules["read back"] = [] if final else ["the configuration could not be read back"]
         rules["no crash inside"] = [f"{at:.2f} {who}: {e!r}" for at, who, e in self.loop.faults]
         return {rule: found for rule, found in rules.items() if found}
