Peers end a silent connection after 3 s instead of waiting TCP's pauses out

Cause: found by reading, not seen here: through a cut of half a minute TCP backs its resends off by as much again, so the fleet would come back later than twelve seconds after the network. TCP_USER_TIMEOUT and keepalive bound it on both ends. Ruled out: heartbeats of our own per connection; the kernel has them. Unproven here: a real cut, for want of a network to cut; the options, renewal and both-way use of a connection are tested on sockets.

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -98,6 +98,7 @@
 RECORD_MOST = 8388608    # bytes; a longer peer record closes the connection.
 PEER_QUEUE = 512         # records waiting for one peer; more are dropped, peers ask again.
 PEER_CONNECT = 0.5       # s; connecting to a peer.
+PEER_SILENT = 3.0        # s; a connection unacknowledged for this long is ended and made anew.
 PEER_RETRY = 0.2         # s; pause after a failed connect.
 EOF_BYTES = 65536        # bytes read from a peer at once.
 HTTP_POOL = 64           # kept connections per back end for probes and lists.
--- a/mothshed/common/peers.py
+++ b/mothshed/common/peers.py
@@ -49,7 +49,7 @@
         try:
             conn = socket.create_connection(split(self.address), constants.PEER_CONNECT)
             conn.settimeout(None)
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tune(conn)
             conn.sendall(records.pack("hello", address=self.peers.address))
         except OSError:
             self.peers.counts["connect_failed"] += 1
@@ -62,6 +62,20 @@
         return conn
 
 
+def tune(conn):
+    """No delay, and an early end for a connection whose other side went silent.
+
+    Left to itself, TCP doubles its pauses through a cut and would come back minutes
+    after the network does; ended early, the connection is simply made anew.
+    """
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(constants.PEER_SILENT * 1000))
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, int(constants.PEER_SILENT))
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
 def shut(conn):
     try:
         conn.shutdown(socket.SHUT_RDWR)
@@ -106,7 +120,7 @@
                 conn = self.server.accept()[0]
             except OSError:
                 return
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tune(conn)
             self.read_in_thread(conn, None)
 
     def read_in_thread(self, conn, who):
