--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,74 @@
+"""Callers' two APIs, streamed and not, and the operator's way through unknown results."""
+
+import json
+
+import pytest
+
+import mothshed.programs.ask as ask
+import tools.simulator.fleet as sim
+
+
+@pytest.fixture(scope="module")
+def day():
+    f = sim.SimFleet("calls", routers=1, replicas=2)
+    f.ready()
+    return f
+
+
+def call(f, name, path, body):
+    box = []
+
+    def send():
+        response = f.ops.web.send("POST", f"http://{f.settings['route-1']['http']}{path}", body,
+                                  {"x-request-id": name, "x-tenant": "riders", "x-kind": "question"}, read=8)
+        box.append((response.status, response.headers, b"".join(response.bytes())))
+    f.operator(send)
+    f.run(6)
+    return box[0]
+
+
+CHAT = {"model": "shift-notes", "messages": [{"role": "system", "content": "be brief"}, {"role": "user", "content": "scooter 4?"}],
+        "max_tokens": 5}
+TEXT = {"model": "shift-notes", "prompt": "scooter 4?", "max_tokens": 5}
+
+
+@pytest.mark.parametrize("path, body", [("/v1/chat/completions", CHAT), ("/v1/completions", TEXT)])
+def test_both_paths_whole_and_streamed_say_the_same(day, path, body):
+    chat = "chat" in path
+    status, headers, data = call(day, f"w-{chat}", path, body)
+    said = json.loads(data)
+    text = said["choices"][0]["message"]["content"] if chat else said["choices"][0]["text"]
+    assert status == 200 and headers["x-request-id"] == f"w-{chat}" and said["choices"][0]["finish_reason"] == "stop"
+    assert [p.split(".")[0] for p in text.split()] == list("01234") and said["usage"]["completion_tokens"] == 5
+    status, headers, data = call(day, f"s-{chat}", path, {**body, "stream": True})
+    lines = [line for line in data.split(b"\n\n") if line]
+    assert status == 200 and headers["content-type"] == "text/event-stream" and lines[-1] == b"data: [DONE]"
+    chunks = [json.loads(line[6:]) for line in lines[:-1]]
+    parts = [c["choices"][0]["delta"]["content"] if chat else c["choices"][0]["text"] for c in chunks]
+    assert [p.split(".")[0] for p in parts] == list("01234")
+    assert {c["object"] for c in chunks} == {"chat.completion.chunk" if chat else "text_completion"}
+
+
+def test_the_replica_sees_the_hand_over_of_the_design(day):
+    call(day, "steps", "/v1/completions", TEXT)
+    kinds = [(r["kind"], r.get("role")) for r in day.ledger if r.get("request") == "steps"]
+    assert kinds == [("seen", "prefill"), ("run", "prefill"), ("export", None), ("prefilled", None), ("seen", "decode"),
+                     ("pull", None), ("run", "decode"), ("free", None), ("decoded", None)]
+    shakes = [r for r in day.ledger if r["kind"] == "handshake"]
+    assert len(shakes) == 1                         # one per pair, however many requests
+
+
+@pytest.mark.parametrize("put, rows, code", [
+    ((200, {"sequence": 4}), [], 0), ((409, {}), [], 5), ((400, {}), [], 2),
+    ((504, {"error": {"verdict": "may_have_run"}}), [{"id": "mark", "sequence": 9}], 0),
+    ((504, {"error": {"verdict": "may_have_run"}}), [{"id": "other", "sequence": 9}], 6),
+    ((503, {"error": {"verdict": "not_run"}}), [], 1)])
+def test_apply_resolves_unknown_results_by_reading_back(monkeypatch, put, rows, code):
+    asked = []
+
+    def any_of(addresses, method, path, body=None):
+        asked.append((method, body and body["id"]))
+        return put if method == "PUT" else (200, {"rows": rows})
+    monkeypatch.setattr(ask, "any_of", any_of)
+    assert ask.apply(["k"], 3, {}, "me", "mark")[0] == code
+    assert {mark for method, mark in asked if method == "PUT"} == {"mark"}     # repeats carry the same id
--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,76 @@
+"""Repair: what a missing member or router should have had is kept for it, within bounds."""
+
+import mothshed.common.constants as constants
+import tools.simulate as simulate
+import tools.simulator.end_of_day as end_of_day
+import tools.simulator.fleet as sim
+
+
+def write_many(f, count, span):
+    for n in range(count):
+        f.later(n * span, lambda n=n: f.operator(lambda: f.apply(f"many-{n}")))
+    f.run(count * span + 2)
+
+
+def follower(f):
+    return next(n for n in f.names("keep") if n != f.owner())
+
+
+def test_a_member_that_missed_a_little_gets_the_entries():
+    f = sim.SimFleet("few", routers=1, replicas=2)
+    f.ready()
+    name = follower(f)
+    f.kill(name)
+    write_many(f, 5, 0.3)
+    f.start(name)
+    f.run(3)
+    log = f.parts[name].members[0].log
+    assert log.snap is None and log.last == f.parts[f.owner()].members[0].log.last
+    assert f.parts[name].members[0].machine.latest == 6
+
+
+def test_past_the_bound_the_snapshot_is_handed_over(monkeypatch):
+    monkeypatch.setattr(constants, "SNAP_EVERY", 8)
+    monkeypatch.setattr(constants, "KEEP_BEHIND", 2)
+    f = sim.SimFleet("many", routers=1, replicas=2)
+    f.ready()
+    name = follower(f)
+    f.kill(name)
+    behind = f.parts[name].members[0].log.last
+    write_many(f, 20, 0.3)
+    owner = f.parts[f.owner()].members[0].log
+    assert owner.base > behind                      # the entries it missed are kept no more
+    f.start(name)
+    f.run(3)
+    late = f.parts[name].members[0]
+    latest = f.parts[f.owner()].members[0].machine.latest
+    assert late.log.snap["index"] > behind and late.machine.latest == latest == len(f.writes) > 8
+    for other in f.names("keep"):                   # and what it was handed lasts
+        f.kill(other)
+    for other in f.names("keep"):
+        f.start(other)
+    f.run(5)
+    assert end_of_day.close(f) == {}
+    assert f.parts[name].members[0].machine.latest == latest
+
+
+def test_a_router_that_missed_documents_gets_the_ones_that_count():
+    f = sim.SimFleet("router", routers=2, replicas=2)
+    f.ready()
+    f.net.split(["route-1"], f.names("keep"))
+    write_many(f, 6, 0.5)
+    assert f.parts["route-1"].lease.sequence() is None and f.parts["route-2"].lease.sequence() == 7
+    f.net.heal()
+    f.run(3)
+    assert f.parts["route-1"].lease.sequence() == 7
+    assert list(f.parts["route-1"].lease.docs) == [7]
+
+
+def test_a_neighbour_frees_only_what_is_overdue():
+    f = simulate.one("kill_router", 1)[1]
+    freed = [r for r in f.ledger if r["kind"] == "free"]
+    exports = {(r["request"], r["engine"]): r["at"] for r in f.ledger if r["kind"] == "export"}
+    late = [r for r in freed if r["at"] - exports[(r["request"], r["engine"])] > 2.0]
+    assert late and len(late) < 10                  # the lost router's, nobody else's
+    guards = sum(f.parts[n].totals.counts["guard_freed"] for n in f.names("route"))
+    assert guards >= len(late) > 0
--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,38 @@
+"""The tools' own manners: bad words are one error, nothing done, non-zero; the ring is written out."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+import mothshed.common.ring as ring
+
+
+@pytest.mark.parametrize("words, said", [
+    (["tools.simulate", "--day", "no-such-day"], "no day is named 'no-such-day'"),
+    (["tools.simulate", "--day", "calm", "--seeds", "one"], "'one' is not first-last"),
+    (["tools.measure", "pairing", "--traffic", "/no/such/file"], "/no/such/file"),
+    (["mothshed.programs.operate", "fleet", "--faults", "3:kill_router,x:config,4:explode"], "x:config, 4:explode"),
+    (["mothshed.programs.operate", "fleet", "--deployment", "nowhere"], "nowhere"),
+    (["mothshed.programs.operate", "config", "check", "/no/such/file"], "/no/such/file"),
+    (["mothshed.programs.operate", "run", "swap-keeper", "--keeper", "127.0.0.1:1", "--set", "old"], "name=value"),
+])
+def test_bad_words_are_named_and_nothing_is_done(words, said):
+    done = subprocess.run([sys.executable, "-m", *words], capture_output=True, text=True, stdin=subprocess.DEVNULL)
+    assert done.returncode == 2
+    assert said in " ".join((done.stdout + done.stderr).split())
+
+
+def test_the_ring_is_written_out_when_something_goes_wrong(tmp_path, monkeypatch):
+    path = tmp_path / "ring"
+    monkeypatch.setattr(ring, "STATE", {"path": str(path), "last": -1e9, "name": "t", "on": True})
+    ring.ROWS.clear()
+    ring.keep({"message_type": "before"})
+    assert not path.exists()
+    try:
+        raise ValueError("broke")
+    except ValueError as e:
+        ring.trouble("test_trouble", e)
+    rows = [json.loads(line) for line in path.read_text().splitlines()]
+    assert rows[0]["message_type"] == "before" and len(ring.ROWS) <= 1
