--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -16,7 +16,8 @@
     assert sum(r["end"] == "whole" for r in fleet.rows) > 50      # the day really carried traffic
 
 
-@pytest.mark.parametrize("name, seed", [("freeze_router", 100), ("slow_links", 5), ("replica_dark", 2), ("keepers_swapped", 1)])
+@pytest.mark.parametrize("name, seed", [("freeze_router", 100), ("slow_links", 5), ("replica_dark", 2), ("keepers_swapped", 1),
+                                        ("list_down", 200), ("replica_answers_broken", 202)])
 def test_a_seed_that_once_failed(name, seed):
     assert simulate.one(name, seed)[0] == {}
 
--- a/tools/simulator/days_of_replicas.py
+++ b/tools/simulator/days_of_replicas.py
@@ -130,5 +130,5 @@
 
 @base.day
 def list_down(f):
-    f.later(3, lambda: setattr(f.list, "down_until", f.loop.time + 6))
+    f.later(3, lambda: f.list.down(6))
     return 9
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -197,7 +197,7 @@
             self.ops.pause(0.4)
         return 0, {}
 
-    def apply(self, mark, base=None, body=None):
+    def apply(self, mark, base=None, body=None, most=8):
         """Writes a document; the end is recorded for the judge."""
         if base is None:
             status, said = self.ask("GET", "/configuration")
@@ -205,7 +205,7 @@
                 return
             base = said["latest"]
         body = body or real_fleet.document(self.deployment, note=mark)
-        status, said = self.ask("PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"})
+        status, said = self.ask("PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"}, most)
         if status == 200:
             self.writes.append({"id": mark, "sequence": said["sequence"], "acked": self.loop.time, "base": base})
         elif status == 409:
@@ -215,7 +215,7 @@
 
     def ready(self, most=20.0, body=None):
         """Runs until the first document is active and every replica has a role."""
-        self.operator(lambda: self.apply("first", 0, body))
+        self.operator(lambda: self.apply("first", 0, body, most=30))
         until = self.loop.time + most
         while self.loop.time < until:
             self.run(0.25)
--- a/tools/stand_in_list.py
+++ b/tools/stand_in_list.py
@@ -20,7 +20,7 @@
         self.lag, self.now = lag, now
         self.lock = threading.Lock()
         self.past = [(now() - 1e6, {})]      # (when, items)
-        self.down_until = 0.0
+        self.downs = []         # spans in which it answers nothing
 
     def change(self, name, item):
         with self.lock:
@@ -31,6 +31,14 @@
                 items[name] = {**items.get(name, {}), **item}
             self.past.append((self.now(), items))
 
+    def down(self, seconds):
+        self.downs.append((self.now(), self.now() + seconds))
+
+    def shown_at(self, at):
+        """When a change made at this time could first be read."""
+        first = at + self.lag
+        return max([first] + [until for since, until in self.downs if since <= first < until])
+
     def shown(self):
         with self.lock:
             now = self.now()
@@ -45,7 +53,7 @@
                     spans, leaving = found.setdefault(name, []), item.get("state") == "leaving"
                     shown = bool(spans) and spans[-1][1] is None
                     if leaving and not shown:
-                        spans.append([at + self.lag, None])
+                        spans.append([self.shown_at(at), None])
                     elif shown and not leaving:
                         spans[-1][1] = at + self.lag
         return {name: spans for name, spans in found.items() if spans}
@@ -54,7 +62,7 @@
         path = environ["PATH_INFO"]
         data = front.body_of(environ)
         if path == "/replicas":
-            if self.now() < self.down_until:
+            if any(since <= self.now() < until for since, until in self.downs):
                 return front.fault(start, 503, "list is down")
             return front.respond(start, 200, {"items": list(self.shown().values())})
         if path == "/set":
@@ -63,7 +71,7 @@
         elif path == "/drop":
             self.change(json.loads(data)["name"], None)
         elif path == "/down":
-            self.down_until = self.now() + json.loads(data)["seconds"]
+            self.down(json.loads(data)["seconds"])
         elif path != "/shown":
             return front.fault(start, 404, "no such path")
         return front.respond(start, 200, {"leaving": self.history()})
