--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -46,6 +46,10 @@
 URGENT_AGREE = 2         # beats in a row for that.
 SHIFT_AGREE = 4          # beats in a row that must see the same lean before a shift.
 RANK_BEATS = 3           # order beats that a part with fewer of a pool's replicas waits before it mends a bound.
+CHANGE_HOLD = 9.0        # s; least time between two shifts where a change of part takes seconds of service.
+CHANGE_BEAR = 0.55       # usage that the giving side may come to by such a shift.
+CHANGE_OUT = 2.6         # s; a replica ordered to change is not placed upon: its running ones end, then it returns.
+ORDER_NOTICE = 0.4       # s; routers are told before such an order goes out: two beats of their reports.
 ORDER_QUIET = 4.0        # s; a taken order is not said again for this long: a change of part and a late list.
 ORDER_TIME = 1.0         # s; longest wait for a replica to take an order.
 
@@ -140,11 +144,11 @@
 USAGE_IDLE = 1.0         # s; the same while it has nothing running.
 USAGE_LIFE = 1.5         # s; a report older than this counts no more.
 USAGE_SILENT = 0.6       # s; an owner that answers none for this long is looked for anew.
-USAGE_HALF = 1.0         # s; half of what the split goes by is younger than this.
+USAGE_HALF = 1.5         # s; half of what the split goes by is younger than this.
 READ_FULL = 0.3          # s of reading queued per reader at which the readers count as fully used.
 RUN_FULL = 0.5           # share of a writer's slots at which it counts as fully used: its steps slow down.
 
-READ_RANKS = (1000, 2000, 4000, 6000, 9000, 13000, 20000, 30000, 45000)  # tokens unread; each passed is one less urgent.
+READ_RANKS = (1000, 3000, 6000)  # tokens unread; each passed is one less urgent. More ranks starve the largest.
 KNOWN_PARTS = 4096       # prompt parts remembered per router as kept by a replica; the oldest go first.
 PROMPT_SHORT = 1024      # tokens; a prompt of one reading piece may be read by its writer, if that is sooner.
 
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -111,6 +111,9 @@
 
     def send(self, name, url, role, standing, sequence):
         good = False
+        if self.shared_usage:               # routers hear of it before the replica does
+            self.shared_usage.shifting[name] = self.desk.now() + constants.CHANGE_OUT
+            self.desk.pause(constants.ORDER_NOTICE)
         try:
             if self.may(standing) and self.lease.sequence() == sequence:
                 good = self.order_role(self.desk, url, role, standing, self.member.who, sequence)
--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -80,10 +80,13 @@
             return roles
         far = {n: role for n, (role, row) in others.items() if role != "none"}
         lean = self.pressure_lean({**roles, **far}, {**usage, **{n: others[n][1] for n in far}}) if pool["shift"] else 0
+        costly = "engine" in pool               # a replica is away for seconds while it changes its part
+        if costly and not self.bearable({**roles, **far}, {**usage, **{n: others[n][1] for n in far}}, lean):
+            lean = 0
         self.agreed = self.agreed + 1 if lean * self.lean > 0 else int(lean != 0)
         self.lean = lean
-        agree, hold = ((constants.URGENT_AGREE, constants.URGENT_HOLD) if abs(lean) > 1
-                       else (constants.SHIFT_AGREE, constants.SHIFT_HOLD))
+        agree, hold = ((constants.URGENT_AGREE, constants.URGENT_HOLD) if abs(lean) > 1 and not costly
+                       else (constants.SHIFT_AGREE, constants.CHANGE_HOLD if costly else constants.SHIFT_HOLD))
         ready = self.agreed >= agree and self.now() - self.shifted_at > hold
         if ready and (lean > 0 and count < high or lean < 0 and count > low):
             self.shifted_at, self.agreed = self.now(), 0
@@ -97,14 +100,24 @@
             roles[pick] = role
         return roles
 
-    def pressure_lean(self, roles, usage):
-        """Above 0: prefill is the tighter side, below: decode, 0: neither; 2 is overloaded."""
+    def pressures(self, roles, usage):
+        """role -> what its replicas bear, as a share of what they can bear."""
         side = {"prefill": [0, 0], "decode": [0, 0]}
         for n, role in roles.items():
             run, wait, slots = usage[n]
             side[role][0] += run + 2 * wait
             side[role][1] += slots
-        press = {r: busy / slots if slots else 0.0 for r, (busy, slots) in side.items()}
+        return {r: busy / slots if slots else 0.0 for r, (busy, slots) in side.items()}
+
+    def bearable(self, roles, usage, lean):
+        """Whether the side that gives one up still has room with one fewer."""
+        giver = "decode" if lean > 0 else "prefill"
+        count = sum(role == giver for role in roles.values())
+        return count > 1 and self.pressures(roles, usage)[giver] * count / (count - 1) < constants.CHANGE_BEAR
+
+    def pressure_lean(self, roles, usage):
+        """Above 0: prefill is the tighter side, below: decode, 0: neither; 2 is overloaded."""
+        press = self.pressures(roles, usage)
         for sign, tight, other in ((1, "prefill", "decode"), (-1, "decode", "prefill")):
             if press[tight] > max(constants.SHIFT_PRESS, constants.SHIFT_UP * press[other]):
                 return 2 * sign if press[tight] > constants.URGENT_PRESS else sign
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -14,6 +14,7 @@
         self.reports = {}       # router -> (when, rows)
         self.smooth = {}        # replica -> [requests, tokens being read]
         self.smoothed_at = None
+        self.shifting = {}      # replica -> until when an order keeps it away
         self.desk.hear("usage", self.on_usage, member.part)
 
     def on_usage(self, sender, body):
@@ -38,6 +39,12 @@
                 row[0] += run
                 row[1] += tokens
                 row[2] = round(max(row[2], out - (now - at)), 2)
+        for name, until in list(self.shifting.items()):
+            if until <= now:
+                del self.shifting[name]
+            else:
+                row = total.setdefault(name, [0, 0, 0.0])
+                row[2] = round(max(row[2], until - now), 2)
         return total
 
     def usage(self, name, role, slots):
