--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -48,6 +48,8 @@
 RANK_BEATS = 3           # order beats that a part with fewer of a pool's replicas waits before it mends a bound.
 CHANGE_HOLD = 9.0        # s; least time between two shifts where a change of part takes seconds of service.
 CHANGE_BEAR = 0.55       # usage that the giving side may come to by such a shift.
+LEAST_READ = 0.25        # share of a pool that always reads, where a change of part takes seconds.
+LEAST_WRITE = 0.4        # share of a pool that always writes, likewise.
 CHANGE_OUT = 2.6         # s; a replica ordered to change is not placed upon: its running ones end, then it returns.
 ORDER_NOTICE = 0.4       # s; routers are told before such an order goes out: two beats of their reports.
 ORDER_QUIET = 4.0        # s; a taken order is not said again for this long: a change of part and a late list.
@@ -149,6 +151,10 @@
 RUN_FULL = 0.5           # share of a writer's slots at which it counts as fully used: its steps slow down.
 
 READ_RANKS = (1000, 3000, 6000)  # tokens unread; each passed is one less urgent. More ranks starve the largest.
+PACE_LEAST = 1500        # tokens; a shorter reading is mostly ways and steps and tells no pace.
+ADMIT_SHARE = 1.2        # ratio to the aim; a reader queue longer than this takes no more: all behind it would be late.
+ADMIT_USUAL = 2.0        # s; the aim taken for routes that name none.
+BOUNCE_LEAST = 0.8       # s; shortest pause told when queues are full.
 KNOWN_PARTS = 4096       # prompt parts remembered per router as kept by a replica; the oldest go first.
 PROMPT_SHORT = 1024      # tokens; a prompt of one reading piece may be read by its writer, if that is sooner.
 
--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -7,6 +7,8 @@
 take turns within the brief's three seconds.
 """
 
+import math
+
 import mothshed.common.constants as constants
 
 
@@ -40,9 +42,18 @@
     (1, 3)
     >>> bounds({"least_prefill": 1, "least_decode": 1}, 1)
     (0, 1)
+
+    Where a replica is away for seconds while it changes, neither side is ever let down to
+    one that a crowd would bury before the split can turn round.
+
+    >>> [bounds({"least_prefill": 1, "least_decode": 1, "engine": {}}, n) for n in (2, 4, 5, 9, 70)]
+    [(1, 1), (1, 2), (1, 3), (2, 5), (17, 42)]
     """
     low = min(pool["least_prefill"], count)
     high = max(0, count - pool["least_decode"])
+    if "engine" in pool:
+        low = max(low, int(count * constants.LEAST_READ))
+        high = min(high, count - math.ceil(count * constants.LEAST_WRITE))
     return (low, high) if low <= high else (min(low, high), max(low, high))
 
 
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -28,14 +28,15 @@
         self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=self.sums(sender))
 
     def sums(self, but=""):
-        """replica -> [requests, tokens being read, s it stays out] over all routers but one."""
+        """replica -> [requests, tokens being read, s it stays out, tokens of short readings] over all routers but one."""
         now, total = self.desk.now(), {}
         self.reports = {a: r for a, r in self.reports.items() if now - r[0] < constants.USAGE_LIFE}
         for sender, (at, rows) in self.reports.items():
             if sender == but:
                 continue
-            for name, (run, tokens, out) in rows.items():
-                row = total.setdefault(name, [0, 0, 0.0])
+            for name, (run, tokens, out, brief) in rows.items():
+                row = total.setdefault(name, [0, 0, 0.0, 0])
+                row[3] += brief
                 row[0] += run
                 row[1] += tokens
                 row[2] = round(max(row[2], out - (now - at)), 2)
@@ -43,7 +44,7 @@
             if until <= now:
                 del self.shifting[name]
             else:
-                row = total.setdefault(name, [0, 0, 0.0])
+                row = total.setdefault(name, [0, 0, 0.0, 0])
                 row[2] = round(max(row[2], until - now), 2)
         return total
 
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -14,6 +14,7 @@
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
 import mothshed.data_plane.delivery_sends as delivery_sends
+import mothshed.data_plane.placing as placing
 import mothshed.data_plane.routes as routes
 
 NOT_RUN = verdict.Verdict.NOT_RUN
@@ -27,6 +28,7 @@
         self.fails, self.without = [], set()
         self.ran = False            # it runs somewhere, did, or may have
         self.over = False           # nothing more is begun, whatever is left
+        self.retry = constants.BOUNCE_RETRY
         self.own = None             # (reply, body): a replica's own failure, to be passed on
         self.prefills = self.decodes = 0    # written to a replica
         self.counted = 0            # sends that count: all but a first prefill that was taken up
@@ -96,12 +98,12 @@
             return reply, body, None, iter(())
         if self.ran:
             raise verdict.RequestFailure("request failed", self.fails)
-        raise verdict.Bounce(503, self.fails[-1].reason if self.fails else "no replica", constants.BOUNCE_RETRY,
+        raise verdict.Bounce(503, self.fails[-1].reason if self.fails else "no replica", round(self.retry, 2),
                              "sends_failed")
 
     def take_place(self, alone):
         """A pair of places; waits a little for one, then bounces."""
-        until = min(self.ask.cutoff, self.desk.now() + self.ask.patience)
+        until, full = min(self.ask.cutoff, self.desk.now() + self.ask.patience), 0.0
         while True:
             sequence = self.router.lease.sequence()
             if sequence is not None:
@@ -111,11 +113,15 @@
                     raise verdict.Bounce(404, "no route")
                 self.route = route
                 pool = routes.pool_of(route, self.desk.random)
-                pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
-                if pair:
-                    return pair
+                try:
+                    pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
+                    if pair:
+                        return pair
+                except placing.Full as e:
+                    full = e.span
             if self.desk.now() >= until:
-                self.give_in("no lease" if sequence is None else "no replica")
+                self.retry = max(constants.BOUNCE_LEAST, full) if full else constants.BOUNCE_RETRY
+                self.give_in("no lease" if sequence is None else "queues are full" if full else "no replica")
             self.desk.pause(constants.PLACE_BEAT)
 
     def once(self):
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -81,7 +81,7 @@
         finally:
             self.router.placing.read(pair)
         self.router.placing.parts.add(name, self.ask.parts)
-        self.router.placing.measured(name, unread, self.desk.now() - began)
+        self.router.placing.measured(name, unread, pair.queued, self.desk.now() - began)
         self.router.replicas.served(name)
         return handle
 
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -25,9 +25,18 @@
     writer: object      # Place
     unread: int         # prompt tokens that the reader is expected to read
     expected: float     # s until the prompt is read
+    queued: int = 0     # tokens already there to be read when it was placed
     done: bool = False  # the reader's place is given back
 
 
+class Full(Exception):
+    """Every reader's queue is too long for this prompt; `span` s too long for the shortest."""
+
+    def __init__(self, span):
+        super().__init__(f"queue is {span:.2f} s too long")
+        self.span = span
+
+
 def rank(key, name):
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
@@ -65,6 +74,7 @@
         self.lock = threading.RLock()
         self.parts = Parts()
         self.reading = collections.Counter()    # name -> tokens this router has it read
+        self.brief = collections.Counter()      # the same, of short readings only: they go first
         self.others = {}                        # part -> name -> what all other routers have there
         self.paces = {}                         # name -> tokens/s as measured
 
@@ -73,13 +83,14 @@
         now = self.desk.now()
         with self.lock:
             self.others[part] = (now, rows)
-        for name, (run, tokens, out) in rows.items():
+        for name, (run, tokens, out, brief) in rows.items():
             if out > constants.USAGE_BEAT and name not in self.replicas.fails:
                 self.replicas.doubt(name, min(out, constants.OUT_MOST))
 
     def known(self, name, at):
-        """at: 0 for requests, 1 for tokens being read, at a replica, over all routers."""
-        now, total = self.desk.now(), self.reading[name] if at else self.replicas.mine.get(name, 0)
+        """What all routers have at a replica. at: 0 requests, 1 tokens being read, 3 those of short readings."""
+        now = self.desk.now()
+        total = (self.replicas.mine.get(name, 0), self.reading[name], 0, self.brief[name])[at]
         for when, rows in self.others.values():
             if name in rows and now - when < constants.USAGE_LIFE:
                 total += rows[name][at]
@@ -88,12 +99,12 @@
     def pace(self, name):
         return self.paces.get(name, constants.READ_PACE)
 
-    def measured(self, name, tokens, span):
-        """A prefill of so many unread tokens took span seconds."""
-        if tokens > 500:
+    def measured(self, name, tokens, queued, span):
+        """A prefill of so many unread tokens took span seconds; those that queued say nothing of the pace."""
+        if tokens > constants.PACE_LEAST and queued < tokens / 10:
             pace = tokens / max(span - constants.READ_BASE, 0.001)
             pace = min(max(pace, constants.READ_PACE / 4), constants.READ_PACE * 1.25)
-            self.paces[name] = 0.9 * self.pace(name) + 0.1 * pace
+            self.paces[name] = 0.8 * self.pace(name) + 0.2 * pace
 
     def unread(self, name, ask, home):
         held = self.parts.held(name, ask.parts)
@@ -114,7 +125,7 @@
         home, rows = self.home(names, ask), []
         for name in names:
             unread = self.unread(name, ask, home)
-            time = (self.known(name, 1) + unread) / self.pace(name) + constants.READ_BASE
+            time = self.wait(name, False, unread) + unread / self.pace(name) + constants.READ_BASE
             rows.append((time + self.far(name, self.cell), name, unread, time))
         return min(rows)[1:]
 
@@ -138,6 +149,17 @@
         """Whether the writer shall read: a short prompt, and it is sooner."""
         return ask.tokens <= constants.PROMPT_SHORT and alone < handed
 
+    def wait(self, name, by_writer, unread):
+        """s until what goes before a reading of so many tokens is read at a replica."""
+        before = self.known(name, 3 if unread <= constants.READ_RANKS[1] else 1)
+        return before / (self.pace(name) * (constants.WRITER_PACE if by_writer else 1.0))
+
+    def admit(self, ask, name, by_writer, unread):
+        """Raises Full if a prompt that joined the queue now would come to its aim too late."""
+        wait, most = self.wait(name, by_writer, unread), constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
+        if wait > most:
+            raise Full(wait - most)
+
     def pair(self, sequence, document, pool, ask, without=(), alone=False):
         """A Pair with both places taken, or None. alone: without a reader."""
         row = document["pools"][pool]
@@ -152,10 +174,13 @@
                 return self.take(sequence, pool, None, self.writer(writers, self.cell), 0, 0.0)
             lone, time = self.alone(writers, ask)
             if alone or not readers:
+                if not alone:
+                    self.admit(ask, lone, True, ask.tokens)
                 return self.take(sequence, pool, None, lone, ask.tokens, time)
             reader, unread, expected = self.reader(readers, ask)
             if self.by_itself(ask, expected, time):
                 return self.take(sequence, pool, None, lone, ask.tokens, time)
+            self.admit(ask, reader, False, unread)
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
             return self.take(sequence, pool, reader, writer, unread, expected)
 
@@ -163,15 +188,21 @@
         self.replicas.begin(writer)
         if reader:
             self.replicas.begin(reader)
-        self.reading[reader or writer] += unread
+        queued = self.known(reader or writer, 1)
+        self.count(reader or writer, unread, 1)
         place = self.replicas.place
-        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected)
+        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued)
+
+    def count(self, name, unread, sign):
+        self.reading[name] = max(0, self.reading[name] + sign * unread)
+        if unread <= constants.READ_RANKS[1]:
+            self.brief[name] = max(0, self.brief[name] + sign * unread)
 
     def read(self, pair):
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
             name = (pair.reader or pair.writer).name
-            self.reading[name] = max(0, self.reading[name] - pair.unread)
+            self.count(name, pair.unread, -1)
             pair.unread = 0
             if pair.reader and not pair.done:
                 self.replicas.end(name)
