Readings ranked by short and tight; a shared part read twice counts against all

Change: readings under 80 ms first, then those tight in their aim, then the rest; a reader that would read a shared part again is weighed twice that time dearer; a reading is given up later; writers' slots are part of admission.

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -133,7 +133,7 @@
 READ_BASE = 0.02         # s; what a prefill takes beside its reading: two ways and a step.
 READ_FACTOR = 4.0        # ratio; a prefill silent for this many times its expected time is given up.
 READ_LEAST = 1.0         # s; and not sooner than this.
-READ_MOST = 3.0          # s; and not later, while a writer can read for itself.
+READ_MOST = 6.0          # s; and not later, while a writer can read for itself.
 WRITER_PACE = 0.5        # ratio; a writer reads for itself at this share of a reader's pace.
 SILENT_FIRST = 1.5       # s; a resumable stream silent for longer before its first event goes elsewhere.
 SILENT_NEXT = 1.2        # s; the same between events: four of the longest pauses that callers accept.
@@ -150,11 +150,15 @@
 READ_FULL = 0.3          # s of reading queued per reader at which the readers count as fully used.
 RUN_FULL = 0.5           # share of a writer's slots at which it counts as fully used: its steps slow down.
 
-READ_RANKS = (1000, 3000, 6000)  # tokens unread; each passed is one less urgent. More ranks starve the largest.
+RANKS = 3                # ranks of readings, the first is read first.
+READ_SHORT = 0.08        # s; a reading this short goes first, since it holds nobody up.
+READ_TIGHT = 0.4         # s; a longer one with less of its aim to spare goes next; those past it anyhow do not.
+READ_REST = 0.1          # s; from the end of a reading to the first event: move, steps and ways.
 PACE_LEAST = 1500        # tokens; a shorter reading is mostly ways and steps and tells no pace.
 ADMIT_SHARE = 1.2        # ratio to the aim; a reader queue longer than this takes no more: all behind it would be late.
 ADMIT_USUAL = 2.0        # s; the aim taken for routes that name none.
 BOUNCE_LEAST = 0.8       # s; shortest pause told when queues are full.
+AGAIN_COST = 2.0         # ratio; what reading shared parts again costs all others beside the time it takes here.
 KNOWN_PARTS = 4096       # prompt parts remembered per router as kept by a replica; the oldest go first.
 PROMPT_SHORT = 1024      # tokens; a prompt of one reading piece may be read by its writer, if that is sooner.
 
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -28,24 +28,23 @@
         self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=self.sums(sender))
 
     def sums(self, but=""):
-        """replica -> [requests, tokens being read, s it stays out, tokens of short readings] over all routers but one."""
+        """replica -> [requests, s it stays out, tokens being read by rank ...] over all routers but one."""
         now, total = self.desk.now(), {}
         self.reports = {a: r for a, r in self.reports.items() if now - r[0] < constants.USAGE_LIFE}
         for sender, (at, rows) in self.reports.items():
             if sender == but:
                 continue
-            for name, (run, tokens, out, brief) in rows.items():
-                row = total.setdefault(name, [0, 0, 0.0, 0])
-                row[3] += brief
+            for name, (run, out, *tokens) in rows.items():
+                row = total.setdefault(name, [0, 0.0, *[0] * len(tokens)])
                 row[0] += run
-                row[1] += tokens
-                row[2] = round(max(row[2], out - (now - at)), 2)
+                row[1] = round(max(row[1], out - (now - at)), 2)
+                row[2:] = [a + b for a, b in zip(row[2:], tokens)]
         for name, until in list(self.shifting.items()):
             if until <= now:
                 del self.shifting[name]
             else:
-                row = total.setdefault(name, [0, 0, 0.0, 0])
-                row[2] = round(max(row[2], until - now), 2)
+                row = total.setdefault(name, [0, 0.0, *[0] * constants.RANKS])
+                row[1] = round(max(row[1], until - now), 2)
         return total
 
     def usage(self, name, role, slots):
@@ -53,7 +52,7 @@
         now = self.desk.now()
         if self.smoothed_at is None or now - self.smoothed_at > constants.USAGE_BEAT:
             keep = 0.0 if self.smoothed_at is None else 0.5 ** ((now - self.smoothed_at) / constants.USAGE_HALF)
-            sums = self.sums()
+            sums = {n: (row[0], sum(row[2:])) for n, row in self.sums().items()}
             self.smooth = {n: [keep * self.smooth.get(n, [0, 0])[k] + (1 - keep) * sums.get(n, [0, 0])[k] for k in (0, 1)]
                            for n in {*self.smooth, *sums}}
             self.smoothed_at = now
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -133,7 +133,7 @@
         try:
             self.reply = self.speech.decode(self.desk, self.ask, pair.writer, self.handle, self.left(),
                                             self.patience_first(), self.check("decode"), self.last,
-                                            self.urgency(0 if self.handle else pair.unread),
+                                            0 if self.handle else pair.rank,
                                             not self.again)
         except verdict.SendFailure as e:
             if e.reason != web.NOT_READY:
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -63,7 +63,7 @@
         try:
             self.may_send("prefill")
             handle = self.speech.prefill(self.desk, self.ask, pair.reader, self.left(), read,
-                                         self.check("prefill"), self.urgency(unread))
+                                         self.check("prefill"), pair.rank)
         except verdict.SendFailure as e:
             if e.reason == web.NOT_READY or self.over:
                 raise
@@ -92,9 +92,6 @@
             return min(self.left(), constants.SILENT_FIRST + 2 * reading)
         return self.left()
 
-    def urgency(self, unread):
-        """Short readings go before long ones: a little wait for the long, a long one spared to many."""
-        return sum(unread > size for size in constants.READ_RANKS)
 
     def whole(self, reply, name):
         try:
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -26,6 +26,7 @@
     unread: int         # prompt tokens that the reader is expected to read
     expected: float     # s until the prompt is read
     queued: int = 0     # tokens already there to be read when it was placed
+    rank: int = 0       # of the reading: 0 goes first
     done: bool = False  # the reader's place is given back
 
 
@@ -37,7 +38,7 @@
         self.span = span
 
 
-def rank(key, name):
+def weight(key, name):
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
 
@@ -73,8 +74,8 @@
         self.desk, self.replicas, self.cell = desk, replicas, cell
         self.lock = threading.RLock()
         self.parts = Parts()
-        self.reading = collections.Counter()    # name -> tokens this router has it read
-        self.brief = collections.Counter()      # the same, of short readings only: they go first
+        self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
+        # name -> tokens this router has it read, by rank
         self.others = {}                        # part -> name -> what all other routers have there
         self.paces = {}                         # name -> tokens/s as measured
 
@@ -83,18 +84,24 @@
         now = self.desk.now()
         with self.lock:
             self.others[part] = (now, rows)
-        for name, (run, tokens, out, brief) in rows.items():
+        for name, (run, out, *tokens) in rows.items():
             if out > constants.USAGE_BEAT and name not in self.replicas.fails:
                 self.replicas.doubt(name, min(out, constants.OUT_MOST))
 
     def known(self, name, at):
-        """What all routers have at a replica. at: 0 requests, 1 tokens being read, 3 those of short readings."""
+        """What all routers have at a replica. at: 0 requests, 1 tokens being read."""
+        return sum(self.queued(name)) if at else self.replicas.mine.get(name, 0) + sum(
+            row[0] for row in self.told(name))
+
+    def told(self, name):
+        """What others were last said to have at a replica, unless that is too old."""
         now = self.desk.now()
-        total = (self.replicas.mine.get(name, 0), self.reading[name], 0, self.brief[name])[at]
-        for when, rows in self.others.values():
-            if name in rows and now - when < constants.USAGE_LIFE:
-                total += rows[name][at]
-        return total
+        return [rows[name] for when, rows in self.others.values()
+                if name in rows and now - when < constants.USAGE_LIFE]
+
+    def queued(self, name):
+        """Tokens being read at a replica over all routers, by rank."""
+        return [sum(t) for t in zip(self.reading[name], *(row[2:] for row in self.told(name)))]
 
     def pace(self, name):
         return self.paces.get(name, constants.READ_PACE)
@@ -115,7 +122,7 @@
     def home(self, names, ask):
         """Where the prompt's shared parts belong."""
         shared = [k for k, t in ask.parts[:-1]]
-        return max(names, key=lambda n: rank(shared[-1], n)) if shared and names else None
+        return max(names, key=lambda n: weight(shared[-1], n)) if shared and names else None
 
     def far(self, name, cell):
         return 0.0 if self.replicas.rows[name]["cell"] == cell else constants.FAR_COST
@@ -125,8 +132,11 @@
         home, rows = self.home(names, ask), []
         for name in names:
             unread = self.unread(name, ask, home)
-            time = self.wait(name, False, unread) + unread / self.pace(name) + constants.READ_BASE
-            rows.append((time + self.far(name, self.cell), name, unread, time))
+            alone = unread / self.pace(name) + constants.READ_BASE
+            time = self.wait(name, self.pace(name), self.rank(ask, alone)) + alone
+            again = max(0, unread - (ask.parts[-1][1] if ask.parts else unread))     # shared parts read anew
+            dear = constants.AGAIN_COST * again / self.pace(name)
+            rows.append((time + dear + self.far(name, self.cell), name, unread, time))
         return min(rows)[1:]
 
     def writer(self, names, cell):
@@ -149,14 +159,23 @@
         """Whether the writer shall read: a short prompt, and it is sooner."""
         return ask.tokens <= constants.PROMPT_SHORT and alone < handed
 
-    def wait(self, name, by_writer, unread):
-        """s until what goes before a reading of so many tokens is read at a replica."""
-        before = self.known(name, 3 if unread <= constants.READ_RANKS[1] else 1)
-        return before / (self.pace(name) * (constants.WRITER_PACE if by_writer else 1.0))
+    def rank(self, ask, alone):
+        """Short readings first: they hold nobody up. Then those with little time to spare, then the rest."""
+        if alone <= constants.READ_SHORT:
+            return 0
+        spare = ask.route.get("aim_s", constants.ADMIT_USUAL) - alone - constants.READ_REST
+        return 1 if 0 <= spare < constants.READ_TIGHT else 2
 
-    def admit(self, ask, name, by_writer, unread):
+    def wait(self, name, pace, rank):
+        """s until what goes before a reading of this rank is read at a replica."""
+        return sum(self.queued(name)[:rank + 1]) / pace
+
+    def admit(self, ask, name, pace, unread, writers):
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
-        wait, most = self.wait(name, by_writer, unread), constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
+        if all(self.known(n, 0) >= self.replicas.rows[n]["slots"] for n in writers):
+            raise Full(constants.BOUNCE_LEAST)
+        wait = self.wait(name, pace, self.rank(ask, unread / pace))
+        most = constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
         if wait > most:
             raise Full(wait - most)
 
@@ -171,38 +190,36 @@
             writers = [n for n in writers if n not in without] or list(writers)
             readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
             if not engine or not ask.tokens:        # nothing to read ahead
-                return self.take(sequence, pool, None, self.writer(writers, self.cell), 0, 0.0)
+                return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
             lone, time = self.alone(writers, ask)
             if alone or not readers:
                 if not alone:
-                    self.admit(ask, lone, True, ask.tokens)
-                return self.take(sequence, pool, None, lone, ask.tokens, time)
+                    self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+                return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
             reader, unread, expected = self.reader(readers, ask)
             if self.by_itself(ask, expected, time):
-                return self.take(sequence, pool, None, lone, ask.tokens, time)
-            self.admit(ask, reader, False, unread)
+                self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+                return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
+            self.admit(ask, reader, self.pace(reader), unread, writers)
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
-            return self.take(sequence, pool, reader, writer, unread, expected)
+            return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
-    def take(self, sequence, pool, reader, writer, unread, expected):
+    def take(self, sequence, pool, ask, reader, writer, unread, expected):
         self.replicas.begin(writer)
         if reader:
             self.replicas.begin(reader)
-        queued = self.known(reader or writer, 1)
-        self.count(reader or writer, unread, 1)
+        name = reader or writer
+        queued, pace = self.known(name, 1), self.pace(name) * (1.0 if reader else constants.WRITER_PACE)
+        rank = self.rank(ask, unread / pace)
+        self.reading[name][rank] += unread
         place = self.replicas.place
-        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued)
-
-    def count(self, name, unread, sign):
-        self.reading[name] = max(0, self.reading[name] + sign * unread)
-        if unread <= constants.READ_RANKS[1]:
-            self.brief[name] = max(0, self.brief[name] + sign * unread)
+        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank)
 
     def read(self, pair):
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
             name = (pair.reader or pair.writer).name
-            self.count(name, pair.unread, -1)
+            self.reading[name][pair.rank] = max(0, self.reading[name][pair.rank] - pair.unread)
             pair.unread = 0
             if pair.reader and not pair.done:
                 self.replicas.end(name)
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -23,13 +23,13 @@
         desk.post(self.tick)
 
     def rows(self):
-        """part -> {replica: [requests, tokens being read, s it stays out, tokens of short readings]}."""
+        """part -> {replica: [requests, s it stays out, tokens being read by rank ...]}."""
         found, now = {}, self.desk.now()
         with self.replicas.lock:
             for name, row in self.replicas.rows.items():
                 part = found.setdefault(parts.part_of(row["service"]), {})
                 out = max(0.0, self.replicas.doubts.get(name, 0) - now) if name in self.replicas.fails else 0.0
-                own = [self.replicas.mine.get(name, 0), self.placing.reading[name], round(out, 2), self.placing.brief[name]]
+                own = [self.replicas.mine.get(name, 0), round(out, 2), *self.placing.reading[name]]
                 if any(own):
                     part[name] = own
         return found
