--- a/mothshed/common/listed.py
+++ b/mothshed/common/listed.py
@@ -1,5 +1,7 @@
 """Replicas known from the platform's list alone.
 
+One process reads the list and tells all others (control_plane/list_duty.py); who hears
+nothing for LIST_SILENT reads it for itself.
 Where the list itself tells each replica's part, no reports are asked for: a replica
 is usable while it is listed and staying. One that fails a send without proof is left
 out for a span that grows with each failure in a row, then tried again; a success
@@ -7,27 +9,55 @@
 """
 
 import mothshed.common.constants as constants
+import mothshed.common.owners as owners
 import mothshed.common.replicas as replicas
 import mothshed.common.web as web
 
 
 class Listed(replicas.Replicas):
-    def __init__(self, desk, list_url, journal, speech):
+    def __init__(self, desk, list_url, journal, speech, keepers):
         super().__init__(desk, list_url, journal)
         self.speech = speech
+        self.owners = owners.Owners(desk, keepers)
         self.fails = {}         # name -> failures in a row
+        self.number = 0         # of the list's news that is held
+        self.fresh_at = desk.now() + constants.LIST_SILENT * desk.random.random()   # when the list held was read
+        self.reading = False
+        desk.hear("list_news", self.on_news, constants.LIST_PART)
 
     def run(self):
-        self.desk.spawn(self.read_lists)
+        self.desk.post(self.tick)
 
-    def read_lists(self):
-        while True:
-            try:
-                self.take_list(self.speech.rows(self.desk, self.list_url))
-            except web.WebFault as e:
-                self.journal.add("list", outcome="failed", reason=str(e))
-            self.tried_at = self.desk.now()
-            self.desk.pause(self.speech.list_beat * (0.9 + 0.2 * self.desk.random.random()))
+    def tick(self):
+        goal = self.owners.ask(constants.LIST_PART)
+        self.desk.tell(goal, "list_ask", part=constants.LIST_PART, number=self.number)
+        if self.desk.now() - self.fresh_at > constants.LIST_SILENT and not self.reading:
+            self.reading = True
+            self.desk.spawn(self.read_list)
+        self.desk.beat(constants.LIST_ASK * (0.9 + 0.2 * self.desk.random.random()), self.tick)
+
+    def on_news(self, sender, body):
+        """What changed in the list, from the one that reads it for all."""
+        self.owners.heard(constants.LIST_PART, sender)
+        if not body["whole"] and body["held"] != self.number:
+            return                              # a piece is missing: the next ask says what is held
+        rows = {} if body["whole"] else {n: r for n, r in self.rows.items() if n not in body["gone"]}
+        self.number = body["number"]
+        self.take_list({**rows, **body["rows"]})
+        self.fresh_at = self.list_at = self.desk.now() - max(0.0, body["age"])
+
+    def read_list(self):
+        """No news, or old news: the list is read here."""
+        began = self.desk.now()
+        try:
+            rows = self.speech.rows(self.desk, self.list_url)
+            self.take_list(rows)
+            self.number, self.fresh_at = 0, began
+        except web.WebFault as e:
+            self.journal.add("list", outcome="failed", reason=str(e))
+            self.fresh_at += constants.LIST_ASK * self.desk.random.random()
+        finally:
+            self.reading = False
 
     def take_list(self, rows):
         super().take_list(rows)
--- /dev/null
+++ b/mothshed/common/owners.py
@@ -0,0 +1,36 @@
+"""Who owns each service part, as far as is known here: a place to ask, nothing more.
+
+The first ask goes to any keeper; one that does not own the part names the owner it
+follows. An owner that stays silent is forgotten, and keepers are asked in turn.
+"""
+
+import mothshed.common.constants as constants
+
+
+class Owners:
+    def __init__(self, desk, keepers):
+        self.desk, self.keepers = desk, keepers
+        self.known, self.since, self.turn = {}, {}, 0   # part -> address; when an ask first went unanswered
+        for part in range(1, constants.PARTS):
+            desk.hear("look_elsewhere", self.on_look_elsewhere, part)
+
+    def ask(self, part):
+        """The address to ask now; each ask left unanswered counts towards silence."""
+        now = self.desk.now()
+        if now - self.since.setdefault(part, now) > constants.USAGE_SILENT:
+            self.known.pop(part, None)
+            self.since[part] = now
+        if part in self.known:
+            return self.known[part]
+        goals = sorted(set(self.keepers()))
+        self.turn += 1
+        return goals[self.turn % len(goals)] if goals else ""
+
+    def heard(self, part, address):
+        """The owner of a part has answered."""
+        self.known[part] = address
+        self.since.pop(part, None)
+
+    def on_look_elsewhere(self, sender, body):
+        if body["owner"]:
+            self.known[body["part"]] = body["owner"]
--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -28,6 +28,8 @@
     "paid": "request:s replica:s",
     "borrow": "mark:q need:d",
     "lend": "mark:q amount:d",
+    "list_ask": "part:q number:q",
+    "list_news": "part:q number:q held:q age:d whole:? rows:j gone:j",
     "usage": "part:q mark:q rows:j",
     "usages": "part:q mark:q rows:j",
     # agreement
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -13,6 +13,7 @@
 import mothshed.common.replicas as replicas_module
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.control_plane.list_duty as list_duty
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.service_part as service_part
@@ -35,8 +36,8 @@
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
         self.who = incarnation(disk, settings["name"], chance)
-        self.replicas = (listed.Listed(desk, settings["list_url"], self.journal, speech) if speech
-                         else replicas_module.Replicas(desk, settings["list_url"], self.journal))
+        self.replicas = (listed.Listed(desk, settings["list_url"], self.journal, speech, lambda: self.lease_goals())
+                         if speech else replicas_module.Replicas(desk, settings["list_url"], self.journal))
         self.gossip = gossip.Gossip(desk, settings["name"], "keep", settings["cell"], settings["seeds"], self.replicas,
                                     remembered.Remembered(desk, disk))
         self.lease = lease_module.Lease(desk, self.lease_goals)
@@ -47,6 +48,8 @@
                                         settings["first_keepers"], machine, self.gossip.keepers)
             duty = (orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech) if part
                     else config_part.ConfigDuty(seat))
+            if speech and part == constants.LIST_PART:
+                list_duty.ListDuty(seat, self.replicas)
             self.members.append(seat)
             self.duties.append(duty)
 
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -29,8 +29,8 @@
         self.cell = settings["cell"]
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
-        self.replicas = (listed.Listed(desk, settings["list_url"], self.journal, speech) if speech
-                         else replicas_module.Replicas(desk, settings["list_url"], self.journal))
+        self.replicas = (listed.Listed(desk, settings["list_url"], self.journal, speech, lambda: self.gossip.keepers())
+                         if speech else replicas_module.Replicas(desk, settings["list_url"], self.journal))
         self.gossip = gossip.Gossip(desk, settings["name"], "route", self.cell, settings["seeds"], self.replicas)
         self.replicas.sharers = self.gossip.count_routers
         self.lease = lease_module.Lease(desk, self.gossip.keepers)
@@ -41,7 +41,7 @@
         self.placing = placing.Placing(desk, self.replicas, self.cell)
         self.tables = routes.Tables()
         if speech:
-            self.usage = usage_share.UsageShare(desk, self.replicas, self.placing, self.gossip.keepers)
+            self.usage = usage_share.UsageShare(desk, self.replicas, self.placing)
         self.guard = guard.Guard(desk, self.gossip, self.frees, self.journal)
         self.flight = 0
         self.held_waiting = 0       # held handles that wait for a decode place
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -12,14 +12,11 @@
 
 
 class UsageShare:
-    def __init__(self, desk, replicas, placing, keepers):
-        self.desk, self.replicas, self.placing, self.keepers = desk, replicas, placing, keepers
-        self.owners, self.mark, self.turn = {}, 0, 0
-        self.sent = {}          # part -> (mark, when it was asked and not answered yet)
-        self.busy_at = -1e9
-        for kind in ("usages", "look_elsewhere"):
-            for part in range(1, constants.PARTS):
-                desk.hear(kind, getattr(self, "on_" + kind), part)
+    def __init__(self, desk, replicas, placing):
+        self.desk, self.replicas, self.placing, self.owners = desk, replicas, placing, replicas.owners
+        self.busy_at, self.mark = -1e9, 0
+        for part in range(1, constants.PARTS):
+            desk.hear("usages", self.on_usages, part)
         desk.post(self.tick)
 
     def rows(self):
@@ -39,26 +36,11 @@
         if any(rows.values()):
             self.busy_at = now
         for part, own in rows.items():
-            mark, since = self.sent.get(part, (0, None))
-            if since is not None and now - since > constants.USAGE_SILENT:
-                self.owners.pop(part, None)
-            goal = self.owners.get(part) or self.any_keeper()
             self.mark += 1
-            self.sent[part] = (self.mark, now if since is None else since)
-            self.desk.tell(goal, "usage", part=part, mark=self.mark, rows=own)
+            self.desk.tell(self.owners.ask(part), "usage", part=part, mark=self.mark, rows=own)
         busy = now - self.busy_at < constants.USAGE_IDLE
         self.desk.beat(constants.USAGE_BEAT if busy else constants.USAGE_IDLE, self.tick)
 
-    def any_keeper(self):
-        known = sorted(set(self.keepers()))
-        self.turn += 1
-        return known[self.turn % len(known)] if known else ""
-
     def on_usages(self, sender, body):
-        self.owners[body["part"]] = sender
-        self.sent[body["part"]] = (0, None)
+        self.owners.heard(body["part"], sender)
         self.placing.take_others(body["part"], body["rows"])
-
-    def on_look_elsewhere(self, sender, body):
-        if body["owner"]:
-            self.owners[body["part"]] = body["owner"]
