--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,183 @@
+"""A router on the platform, over real sockets: the ordinary path, and what is passed on as it came."""
+
+import time
+
+import pytest
+
+import tests.platform_site as platform_site
+import tests.platform_stand_in as stand_in
+
+PIECES = b"".join(stand_in.event(n, 4) for n in range(1, 5))
+
+
+@pytest.fixture(scope="module")
+def site():
+    found = platform_site.Site()
+    yield found
+    found.stop()
+
+
+def held(replica):
+    return dict(replica.held)
+
+
+def test_a_prompt_is_read_by_one_replica_and_written_by_another(site):
+    host, (reader, writer) = site.service("pd")
+    own, answer = site.ask(host)
+    assert (answer.status, answer.body, answer.complete) == (200, PIECES, True)
+    (first,), (second,) = reader.asked, writer.asked
+    assert first.get("Leg") == "prefill" and not first.get("Cache-From")
+    assert not second.get("Leg") and second.get("Cache-From").startswith(reader.address + "/")
+    assert [r.get("Expect-Replica") for r in (first, second)] == [reader.name, writer.name]
+    assert {r.get("Try-Id") for r in (first, second)} == {own}
+    assert all(0 < int(r.get("Time-Left")) <= 4000 for r in (first, second))
+    (run,) = site.platform.ran(own)
+    assert run["replica"] == writer.name and answer.headers.get_all("Postmark") == [run["stamp"]]
+    assert answer.headers.get_all("Try-Id") == [own] and answer.headers["Weight-Versions"] == "m=1"
+    assert answer.headers["Content-Type"] == "text/event-stream"
+
+
+def test_a_handle_is_freed_after_the_first_event_and_told_to_nobody(site):
+    host, (reader, writer) = site.service("pd", facts={"gap": 0.3})
+    began = time.monotonic()
+    own, answer = site.ask(host)
+    handle = writer.asked[0].get("Cache-From").partition("/")[2]
+    platform_site.until(lambda: reader.freed == [handle], 1.0)
+    assert held(reader) == {} and time.monotonic() - began > 0.9    # the stream went on all the while
+    said = answer.body + str(answer.headers).encode()
+    assert handle.encode() not in said and b"consignment" not in said and reader.address.encode() not in said
+
+
+def test_the_handle_of_one_request_is_never_given_to_another(site):
+    host, (reader, writer) = site.service("pd")
+    for _ in range(5):
+        site.ask(host)
+    sources = [r.get("Cache-From") for r in writer.asked]
+    assert len(set(sources)) == 5 and all(site.platform.ran(r.get("Try-Id")) for r in writer.asked)
+
+
+@pytest.mark.parametrize("method, target, body", [
+    ("POST", "/p/a%2Fb%20c%25?x=%41&y=a+b%26&y=", b"\x00\xff{}\r\n\r\nGET / HTTP/1.1\r\n\r\n"), ("GET", "/p/?", None),
+    ("PUT", "/p//b/./../c;d=1?q=/p/?#", b"x" * 70000), ("DELETE", "/p/%7Euser/~user/%e4%f6", None), ("PATCH", "/p/x?a=b%0d%0ac", b""),
+    ("OPTIONS", "/p/x", b"o")])
+def test_method_path_query_and_body_reach_the_replica_as_they_came(site, method, target, body):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    own, answer = site.ask(host, target, body, method, prompt=False)
+    (seen,) = replica.asked
+    assert answer.status == 200 and (seen.method, seen.target, seen.body) == (method, target, body or b"")
+    assert answer.body == b"said" and answer.headers["Content-Type"] == "text/x-own"
+
+
+@pytest.mark.parametrize("size", [0, 1, 200000])
+def test_a_body_in_chunks_arrives_whole(site, size):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    own, answer = site.ask(host, body=b"y" * size, prompt=False, chunked=True)
+    assert answer.status == 200 and replica.asked[0].body == b"y" * size
+
+
+def test_headers_are_passed_on_but_those_of_one_connection(site):
+    host, (reader, writer) = site.service("pd")
+    rows = [("X-Own", "a, b;c=\"d\""), ("Cookie", "k=v; l=w"), ("Accept", "*/*"), ("User-Agent", "own/1"), ("Accept-Encoding", "identity"),
+            ("Connection", "close, X-Private"), ("X-Private", "1"), ("Keep-Alive", "timeout=3"), ("TE", "trailers"),
+            ("Content-Type", "text/own; charset=x"), ("Authorization", "Bearer z")]
+    own, answer = site.ask(host, headers=rows)
+    assert answer.status == 200
+    for seen in (reader.asked[0], writer.asked[0]):
+        for name, value in rows:
+            one = name not in ("Connection", "X-Private", "Keep-Alive", "TE")
+            assert seen.all(name) == ([value] if one else []), name
+        for name, value in platform_site.PROMPT.items():
+            assert seen.all(name) == [value]
+        assert seen.all("Host") == [host]
+
+
+def test_a_header_that_comes_twice_is_passed_on_with_both_values(site):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    site.ask(host, headers=[("X-Twice", "one"), ("X-Twice", "two")], prompt=False)
+    seen = [w.strip() for v in replica.asked[0].all("X-Twice") for w in v.split(",")]
+    assert seen == ["one", "two"]
+
+
+def test_an_urgency_that_the_caller_gave_is_left_as_it_is(site):
+    host, (reader, writer) = site.service("pd")
+    site.ask(host, headers=[("Urgency", "7")])
+    assert [r.all("Urgency") for r in (reader.asked[0], writer.asked[0])] == [["7"], ["7"]]
+
+
+def test_a_request_that_declares_no_prompt_is_sent_to_no_reader(site):
+    host, (reader, writer) = site.service("pd")
+    own, answer = site.ask(host, prompt=False)
+    assert answer.status == 200 and answer.body == PIECES and reader.asked == []
+    assert not writer.asked[0].get("Cache-From")
+
+
+def test_a_caller_that_goes_on_after_an_event_is_given_the_rest_only(site):
+    host, (reader, writer) = site.service("pd", resumable=True)
+    own, answer = site.ask(host, headers=[("Last-Event-Id", "2")])
+    assert writer.asked[0].all("Last-Event-Id") == ["2"]
+    assert answer.body == b"".join(stand_in.event(n, 4) for n in (3, 4)) and answer.complete
+
+
+@pytest.mark.parametrize("host, target", [(None, "/q/x"), (None, "/p"), ("nobody.example", "/p/x"), ("", "/p/x")])
+def test_without_a_route_the_answer_is_404(site, host, target):
+    own_host, (replica,) = site.service("d", engine=False)
+    own, answer = site.ask(own_host if host is None else host, target)
+    assert answer.status == 404 and replica.asked == []
+
+
+def test_the_longest_prefix_counts_and_a_route_taken_away_is_404(site):
+    host, (replica,) = site.service("d", engine=False, kind="repeatable", facts={"events": 0, "body": b"short"})
+    inner, (other,) = site.service("d", engine=False, kind="repeatable", facts={"events": 0, "body": b"long"})
+    site.lease.change([platform_site.route("inner", host, other.depot, prefix="/p/in/")])
+    assert [site.ask(host, t, prompt=False)[1].body for t in ("/p/in/x", "/p/inner", "/p/")] == [b"long", b"short", b"short"]
+    site.lease.change(without=[f"r-{replica.depot}"])
+    assert [site.ask(host, t, prompt=False)[1].status for t in ("/p/in/x", "/p/inner")] == [200, 404]
+
+
+def test_without_a_replica_a_request_is_refused_promptly_and_told_when_to_come_back(site):
+    host, none = site.service("")
+    own, answer = site.ask(host)
+    assert answer.status == 503 and answer.span < 1.0 and 0 < float(answer.headers["Retry-After"]) <= 2
+    assert "Postmark" not in answer.headers
+
+
+def test_without_a_lease_a_request_is_refused_promptly(site, monkeypatch):
+    host, (replica,) = site.service("d", engine=False)
+    monkeypatch.setattr(site.lease, "sequence", lambda: None)
+    own, answer = site.ask(host)
+    assert answer.status == 503 and answer.span < 1.0 and answer.headers["Retry-After"] and replica.asked == []
+
+
+@pytest.mark.parametrize("kind", ["stream", "repeatable", "once_only"])
+def test_a_replicas_own_failure_is_passed_on_unchanged(site, kind):
+    host, replicas = site.service("dd", engine=False, kind=kind, facts={"events": 4 if kind == "stream" else 0})
+    for replica in replicas:
+        replica.always = {"own": 500}
+    own, answer = site.ask(host, prompt=False)
+    (run,) = site.platform.ran(own)                 # tries is 1
+    assert (answer.status, answer.body, answer.headers["Postmark"]) == (500, b"own failure", run["stamp"])
+
+
+def test_all_pages_of_the_list_are_read_and_what_leaves_takes_nothing_new(site):
+    host, replicas = site.service("d" * 7, engine=False, kind="repeatable", facts={"events": 0})
+    assert len(site.platform.replicas) > 2 * site.platform.page
+    for replica in replicas[:5]:
+        replica.facts["condition"] = "winding_down"
+    platform_site.until(lambda: set(site.router.replicas.usable({"service": replicas[0].depot})) == {r.name for r in replicas[5:]})
+    before = [len(r.asked) for r in replicas[:5]]
+    assert all(site.ask(host, prompt=False)[1].status == 200 for _ in range(12))
+    assert [len(r.asked) for r in replicas[:5]] == before and all(r.asked for r in replicas[5:])
+
+
+def test_a_list_that_fails_leaves_the_last_one_standing(site, monkeypatch):
+    host, (replica,) = site.service("d", engine=False)
+    calls = site.platform.calls
+    monkeypatch.setattr(site.platform, "status", 429)
+    platform_site.until(lambda: site.platform.calls > calls + 2)
+    assert site.ask(host, prompt=False)[1].status == 200
+
+
+def test_an_order_whose_answer_has_no_body_counts_as_taken(site):
+    host, (replica,) = site.service("p")
+    assert site.router.speech.order_role(site.desk, f"http://{replica.address}", "decode", 41, "k1", 3)
+    assert replica.orders == [{"order": "leg", "leg": "decode", "bearer": "k1", "fence_no": 41}]
