--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -70,9 +70,9 @@
     def __init__(self):
         self.said, self.number, self.form = {"itineraries": [], "depots": [depot("none")]}, 0, None
 
-    def change(self, routes=(), depots=(), without=()):
+    def change(self, routes=(), depots=(), without=(), **more):
         rows = [r for r in self.said["itineraries"] if r["name"] not in without]
-        self.said = {"itineraries": rows + list(routes), "depots": self.said["depots"] + list(depots)}
+        self.said = {**self.said, "itineraries": rows + list(routes), "depots": self.said["depots"] + list(depots), **more}
         document = operator_front.document_of(self.said)
         assert configuration.faults(document) == []
         self.form = (self.number + 1, configuration.full(document))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -118,6 +118,18 @@
     assert answer.body == b"".join(stand_in.event(n, 4) for n in (3, 4)) and answer.complete
 
 
+@pytest.mark.parametrize("most, size, status", [(6000000, 5000000, 200), (100000, 100000, 200), (100000, 100001, 413)])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_body_may_be_as_long_as_the_caps_in_force_say(site, most, size, status, chunked):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    site.lease.change(caps={"parcel_bytes": most})
+    try:
+        own, answer = site.ask(host, body=b"z" * size, prompt=False, chunked=chunked)
+    finally:
+        site.lease.change(caps={})
+    assert answer.status == status and [len(r.body) for r in replica.asked] == ([size] if status == 200 else [])
+
+
 @pytest.mark.parametrize("host, target", [(None, "/q/x"), (None, "/p"), ("nobody.example", "/p/x"), ("", "/p/x")])
 def test_without_a_route_the_answer_is_404(site, host, target):
     own_host, (replica,) = site.service("d", engine=False)
