--- /dev/null
+++ b/tests/test_platform_raw.py
@@ -0,0 +1,105 @@
+"""Requests with a doubtful framing, byte for byte: nothing is smuggled in, and none is run changed."""
+
+import socket
+
+import pytest
+
+import mothshed.common.constants as constants
+import tests.platform_site as platform_site
+
+INNER = b"POST /p/in HTTP/1.1\r\nHost: %b\r\nTry-Id: smuggled-%b\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture(scope="module")
+def site():
+    found = platform_site.Site()
+    yield found
+    found.stop()
+
+
+def say(site, data, span=0.4):
+    """All that comes back until the end or a silence."""
+    host, port = site.address.rsplit(":", 1)
+    rows = []
+    with socket.create_connection((host, int(port)), 2) as conn:
+        conn.sendall(data)
+        conn.settimeout(span)
+        try:
+            while piece := conn.recv(65536):
+                rows.append(piece)
+        except (TimeoutError, ConnectionResetError):
+            pass
+    return b"".join(rows)
+
+
+FRAMINGS = {
+    "a length and chunks": lambda n: [b"Content-Length: %d" % (5 + n), b"Transfer-Encoding: chunked"],
+    "chunks and a length": lambda n: [b"Transfer-Encoding: chunked", b"Content-Length: %d" % (5 + n)],
+    "two lengths, short first": lambda n: [b"Content-Length: 5", b"Content-Length: %d" % (5 + n)],
+    "two lengths, long first": lambda n: [b"Content-Length: %d" % (5 + n), b"Content-Length: 5"],
+    "two lengths in one": lambda n: [b"Content-Length: 5, %d" % (5 + n)],
+    "a coding that nobody knows": lambda n: [b"Transfer-Encoding: xchunked", b"Content-Length: 5"],
+    "a coding with a tab": lambda n: [b"Transfer-Encoding:\tchunked", b"Content-Length: %d" % (5 + n)],
+    "a coding with a space before the colon": lambda n: [b"Transfer-Encoding : chunked", b"Content-Length: %d" % (5 + n)],
+    "a coding in other letters": lambda n: [b"transfer-ENCODING: CHUNKED", b"Content-Length: %d" % (5 + n)],
+    "two codings": lambda n: [b"Transfer-Encoding: chunked", b"Transfer-Encoding: identity", b"Content-Length: %d" % (5 + n)],
+    "a length with a sign": lambda n: [b"Content-Length: +5"],
+    "a length below 0": lambda n: [b"Content-Length: -5"],
+    "a length in other digits": lambda n: ["Content-Length: \u0665".encode()],
+}
+
+
+@pytest.mark.parametrize("name", FRAMINGS)
+def test_nothing_is_smuggled_inside_another_request(site, name):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    mark = f"{abs(hash(name)):x}"
+    inner = INNER % (host.encode(), mark.encode())
+    rows = [b"POST /p/out HTTP/1.1", b"Host: " + host.encode(), b"Try-Id: outer-" + mark.encode(), *FRAMINGS[name](len(inner))]
+    said = say(site, b"\r\n".join(rows) + b"\r\n\r\n" + b"0\r\n\r\n" + inner)
+    assert site.platform.ran("smuggled-" + mark) == []
+    assert len(replica.asked) <= 1 and said.count(b"Postmark") == len(site.platform.ran("outer-" + mark))
+
+
+@pytest.mark.parametrize("data", [
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Length: 9\r\n\r\nabc",
+    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Le",
+    b"POST /p/x y HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\n\r\n", b"\x16\x03\x01%b\r\n\r\n", b"GET %b\r\n\r\n"], ids=repr)
+def test_a_request_that_is_not_whole_is_sent_nowhere(site, data):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    address, port = site.address.rsplit(":", 1)
+    with socket.create_connection((address, int(port)), 2) as conn:
+        conn.sendall(data % host.encode())
+        conn.shutdown(socket.SHUT_WR)
+        conn.settimeout(1.0)
+        try:
+            said = conn.recv(65536)
+        except (TimeoutError, ConnectionResetError):
+            said = b""
+    assert [(r.method, r.target, r.body) for r in replica.asked] == [] and b" 200 " not in said[:20]
+
+
+def test_a_body_that_stalls_until_its_time_is_over_is_sent_nowhere(site, monkeypatch):
+    monkeypatch.setattr(constants, "READ_TIME", 0.3)
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    said = say(site, b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: slow\r\nContent-Length: 9\r\n\r\nabc" % host.encode(), 1.5)
+    assert [r.body for r in replica.asked] == [] and b" 200 " not in said[:20]
+
+
+def test_requests_that_follow_one_another_on_a_connection_are_answered_in_order(site):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    rows = [b"POST /p/%d HTTP/1.1\r\nHost: %b\r\nTry-Id: row-%d\r\nContent-Length: 3\r\n\r\nab%d" % (n, host.encode(), n, n) for n in range(4)]
+    said = say(site, b"".join(rows))
+    assert [said.count(b"Try-Id: row-%d" % n) for n in range(4)] == [1] * 4
+    assert [said.index(b"row-%d" % n) for n in range(4)] == sorted(said.index(b"row-%d" % n) for n in range(4))
+    assert [(r.target, r.body) for r in replica.asked] == [(f"/p/{n}", b"ab%d" % n) for n in range(4)]
+
+
+def test_a_header_whose_name_has_an_underscore_never_stands_for_one_with_a_dash(site):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    own, answer = site.ask(host, headers=[("Try_Id", "other"), ("Time_Left", "900")], prompt=False)
+    assert answer.status == 200 and [r.get("Try-Id") for r in replica.asked] == [own]
+    assert int(replica.asked[0].get("Time-Left")) > 1000
