--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -86,6 +86,7 @@
     monkeypatch.setattr(constants, "READ_TIME", 0.3)
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     said = say(site, b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: slow\r\nContent-Length: 9\r\n\r\nabc" % host.encode(), 1.5)
+    platform_site.until(lambda: site.router.flight == 0)
     assert [r.body for r in replica.asked] == [] and b" 200 " not in said[:20]
 
 
