--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -10,7 +10,8 @@
 this status, of its own; break: end midway, after so many events; stale: an answer that
 belongs to nobody is sent before the connection's next one; late: the same at once after
 this answer; forget: the handle is gone; run: a prefill runs; after: it goes on after this event,
-whatever was asked; headers: these besides.
+whatever was asked; cut: the end comes so many
+bytes before the head's; headers: these besides.
 """
 
 import collections
@@ -129,6 +130,10 @@
         if "own" in fault:
             conn.sendall(bare_http.whole(fault["own"], more, b"own failure"))
             return True
+        if "cut" in fault:
+            more = [*more, ("X-Last", "12345678"), ("Content-Length", 100)]
+            conn.sendall(bare_http.head(200, more)[:-fault["cut"]])
+            return False
         if not self.facts["events"]:
             data = bare_http.whole(200, [*more, ("Content-Type", "text/x-own")], self.facts["body"])
             conn.sendall(data[:len(data) - 2] if "break" in fault else data)
--- /dev/null
+++ b/tests/test_delivery_placing.py
@@ -0,0 +1,220 @@
+"""Where delivered requests are placed: parts kept, their home, admission, others' usage; and whom the split moves."""
+
+import itertools
+import random
+import types
+
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.journal as journal
+import mothshed.common.listed as listed
+import mothshed.control_plane.service_part as service_part
+import mothshed.control_plane.usage_duty as usage_duty
+import mothshed.data_plane.placing as placing
+import tests.all_orders as all_orders
+
+ENGINE = {"memory_tokens": 1000, "handle_life_s": 5.0}
+DOCUMENT = {"pools": {"main": {"selector": {"service": "s"}, "engine": ENGINE}, "plain": {"selector": {"service": "s"}}}}
+
+
+def ask(tokens=3000, parts=(("ab", 2000), ("own", 1000)), aim=1.0):
+    return types.SimpleNamespace(tokens=tokens, parts=list(parts), route={"aim_s": aim})
+
+
+def placed(roles, cells=None):
+    """Placing over replicas p1, p2 .. and d1, d2 ..; with the pool that moves its time."""
+    pool = all_orders.Pool()
+    desk = all_orders.HandDesk(pool, "r:1")
+    found = listed.Listed(desk, "", journal.Journal(), None)
+    found.take_list({n: {"url": f"http://{n}", "cell": (cells or {}).get(n, "a"), "service": "s", "labels": {"service": "s"},
+                         "leaving": False, "role": "prefill" if n[0] == "p" else "decode", "slots": 8} for n in roles})
+    return placing.Placing(desk, found, "a"), pool
+
+
+def names(pair):
+    return pair.reader and pair.reader.name, pair.writer.name
+
+
+def test_only_leading_parts_count_as_held():
+    parts = placing.Parts()
+    parts.add("p1", [("a", 10), ("c", 30)])
+    assert parts.held("p1", [("a", 10), ("b", 20), ("c", 30)]) == 10 and parts.held("p1", [("b", 20), ("a", 10)]) == 0
+    assert parts.held("p2", [("a", 10)]) == 0
+    parts.forget("p1")
+    assert parts.held("p1", [("a", 10)]) == 0
+
+
+def test_the_parts_used_longest_ago_are_forgotten_first(monkeypatch):
+    monkeypatch.setattr(constants, "KNOWN_PARTS", 3)
+    parts = placing.Parts()
+    for key in "abc":
+        parts.add("p", [(key, 1)])
+    parts.add("p", [("a", 1)])
+    parts.add("p", [("d", 1)])
+    assert [parts.held("p", [(key, 1)]) for key in "abcd"] == [1, 0, 1, 1]
+
+
+def test_all_routers_look_for_a_shared_part_at_one_reader_and_few_move_when_one_leaves():
+    one, pool = placed(["p1", "p2", "p3", "d1"])
+    rows = [ask(parts=[(f"{n:x}", 2000), (f"own{n}", 1000)]) for n in range(200)]
+    homes = [one.home(["p1", "p2", "p3"], row) for row in rows]
+    for order in itertools.permutations(["p1", "p2", "p3"]):
+        assert [one.home(order, row) for row in rows] == homes
+    assert all(homes.count(n) > 30 for n in ("p1", "p2", "p3"))
+    assert all(new == old for new, old in zip([one.home(["p1", "p2"], row) for row in rows], homes) if old != "p3")
+    assert one.home(["p1"], ask(parts=[("own", 5)])) is None and one.home([], rows[0]) is None
+
+
+def test_a_prompt_goes_where_its_shared_parts_are_kept():
+    for key in ("ab", "cd", "ef", "01"):
+        one, pool = placed(["p1", "p2", "p3", "d1"])
+        first = one.pair(1, DOCUMENT, "main", ask(parts=[(key, 2000), ("x", 1000)]))
+        assert first.reader.name == one.home(["p1", "p2", "p3"], ask(parts=[(key, 2000), ("x", 1000)])) and first.unread == 1000
+    one, pool = placed(["p1", "p2", "d1"])
+    one.parts.add("p2", [("x", 2500), ("y", 500)])
+    again = one.pair(1, DOCUMENT, "main", ask(parts=[("x", 2500), ("y", 500)]))     # a session goes on where it was
+    assert again.reader.name == "p2" and again.unread == 0
+
+
+def test_places_taken_are_given_back_once():
+    one, pool = placed(["p1", "d1"])
+    pair = one.pair(1, DOCUMENT, "main", ask())
+    assert (one.known("p1", 0), one.known("p1", 1), one.known("d1", 0)) == (1, 1000, 1)     # p1 is home of the shared part
+    for _ in range(3):
+        one.read(pair)
+    assert (one.known("p1", 0), one.known("p1", 1), one.known("p1", 3), one.known("d1", 0)) == (0, 0, 0, 1)
+    one.replicas.end("d1")
+    assert one.known("d1", 0) == 0
+
+
+def test_a_queue_too_long_for_the_aim_takes_no_more():
+    one, pool = placed(["p1", "d1"])
+    one.count("p1", int(constants.ADMIT_SHARE * 1.0 * constants.READ_PACE) + 4000, 1)
+    with pytest.raises(placing.Full) as full:
+        one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]))
+    assert abs(full.value.span - 0.1) < 0.01
+    assert (one.replicas.mine.get("p1", 0), one.replicas.mine.get("d1", 0)) == (0, 0)       # no place was taken
+    assert one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)], aim=2.0)).reader.name == "p1"
+    assert one.pair(1, DOCUMENT, "main", ask(2000, [("own", 2000)])).reader.name == "p1"    # short ones go before
+
+
+def test_without_a_reader_the_writer_reads_and_without_a_writer_there_is_no_place():
+    one, pool = placed(["d1", "d2"])
+    assert names(one.pair(1, DOCUMENT, "main", ask()))[0] is None
+    one.count("d1", 10 ** 6, 1)
+    one.count("d2", 10 ** 6, 1)
+    with pytest.raises(placing.Full):
+        one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]))
+    assert one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]), alone=True)
+    one, pool = placed(["p1", "p2"])
+    assert one.pair(1, DOCUMENT, "main", ask()) is None
+
+
+def test_who_failed_is_passed_over_and_a_writer_used_again_only_if_there_is_no_other():
+    one, pool = placed(["p1", "p2", "d1", "d2"])
+    for _ in range(4):
+        assert names(one.pair(1, DOCUMENT, "main", ask(), {"p1", "d2"})) == ("p2", "d1")
+    assert names(one.pair(1, DOCUMENT, "main", ask(), {"p1", "p2", "d1", "d2"}))[0] is None
+    assert names(one.pair(1, DOCUMENT, "main", ask(tokens=0, parts=())))[0] is None          # nothing to read ahead
+    assert names(one.pair(1, DOCUMENT, "plain", ask()))[0] is None
+
+
+def test_others_usage_counts_until_it_is_old():
+    one, pool = placed(["p1", "p2", "d1", "d2"])
+    one.take_others(1, {"d1": [6, 0, 0.0, 0], "p1": [2, 50000, 0.0, 400]})
+    one.take_others(2, {"d1": [1, 0, 0.0, 0]})
+    assert (one.known("d1", 0), one.known("p1", 1), one.known("p1", 3)) == (7, 50000, 400)
+    assert names(one.pair(1, DOCUMENT, "main", ask(parts=[("own", 3000)]))) == ("p2", "d2")
+    one.take_others(1, {"d1": [5, 0, 0.0, 0]})                                # a newer one takes its place
+    assert (one.known("d1", 0), one.known("p1", 1)) == (6, 0)
+    pool.time += constants.USAGE_LIFE - 0.01
+    assert one.known("d1", 0) == 6
+    pool.time += 0.02
+    assert one.known("d1", 0) == 0
+
+
+def test_one_that_others_say_is_out_is_not_placed_upon_for_as_long():
+    one, pool = placed(["p1", "d1", "d2"])
+    one.take_others(1, {"d1": [0, 0, 1.0, 0]})
+    assert set(one.replicas.usable({"service": "s"}, "decode")) == {"d2"}
+    pool.time += 1.01
+    assert set(one.replicas.usable({"service": "s"}, "decode")) == {"d1", "d2"}
+
+
+def test_sums_leave_out_the_asker_the_old_and_what_an_order_no_longer_keeps_away():
+    pool = all_orders.Pool()
+    member = types.SimpleNamespace(desk=all_orders.HandDesk(pool, "k:1"), part=1, owns=True)
+    duty = usage_duty.UsageDuty(member)
+    duty.on_usage("r:1", {"mark": 1, "rows": {"d1": [2, 10, 0.5, 1]}})
+    duty.on_usage("r:2", {"mark": 1, "rows": {"d1": [3, 20, 0.0, 2], "p1": [1, 900, 0.0, 0]}})
+    assert pool.waiting[-1][3]["rows"] == {"d1": [2, 10, 0.5, 1]}
+    duty.shifting["d2"] = pool.time + 1.0
+    pool.time += 0.25
+    assert duty.sums() == {"d1": [5, 30, 0.25, 3], "p1": [1, 900, 0.0, 0], "d2": [0, 0, 0.75, 0]}
+    pool.time += constants.USAGE_LIFE
+    assert duty.sums() == {}
+
+
+# --- the split where a change of part takes seconds ---------------------------
+
+POOL = {"selector": {}, "least_prefill": 1, "least_decode": 1, "shift": True, "prefill_share": 0.4, "engine": ENGINE}
+
+
+def split(count, readers, press, beats, pool=None, span=constants.ORDER_BEAT):
+    """(beat, readers then) whenever their count changes, under a steady press: (reading, writing) per slot."""
+    clock, seen = [100.0], [(0, readers)]
+    one = service_part.Split(lambda: clock[0])
+    roles = {f"r{n:02}": "prefill" if n < readers else "decode" for n in range(count)}
+    for beat in range(1, beats + 1):
+        usage = {n: (press[role != "prefill"] * 10, 0, 10) for n, role in roles.items()}
+        roles = one.plan(pool or POOL, usage, roles)
+        now = sum(r == "prefill" for r in roles.values())
+        if now != seen[-1][1]:
+            seen.append((beat, now))
+        clock[0] += span
+    return seen
+
+
+@pytest.mark.parametrize("count", [2, 3, 4, 5, 8, 10, 21, 70])
+def test_bounds_leave_both_sides_enough_where_a_change_is_dear(count):
+    low, high = service_part.bounds(POOL, count)
+    assert 1 <= low <= high <= count - 1 and count - high >= constants.LEAST_WRITE * count - 1e-9
+    assert low >= int(constants.LEAST_READ * count)
+
+
+@pytest.mark.parametrize("press, goal", [((3.0, 0.1), 6), ((0.1, 3.0), 2)])
+def test_a_lasting_press_moves_one_at_a_time_with_long_holds_and_stops_at_the_bound(press, goal):
+    seen = split(10, 4, press, 200)
+    assert seen[-1][1] == goal and [abs(a[1] - b[1]) for a, b in itertools.pairwise(seen)] == [1] * 2
+    assert seen[1][0] == constants.SHIFT_AGREE                                      # an overload, too, has to last
+    assert (seen[2][0] - seen[1][0]) * constants.ORDER_BEAT > constants.CHANGE_HOLD
+
+
+def test_one_is_given_up_only_where_the_giving_side_bears_it():
+    bear = constants.CHANGE_BEAR * 5 / 6                                            # six writers, one of them going
+    assert split(10, 4, (3.0, bear + 0.02), 100) == [(0, 4)]
+    assert len(split(10, 4, (3.0, bear - 0.02), 100)) > 1
+    assert split(2, 1, (3.0, 0.0), 100) == [(0, 1)] == split(2, 1, (0.0, 3.0), 100)  # never the last of a side
+
+
+def test_where_a_change_is_cheap_an_overload_moves_one_sooner():
+    cheap = {k: v for k, v in POOL.items() if k != "engine"}
+    seen = split(10, 4, (3.0, 0.1), 20, cheap)
+    assert seen[1][0] == constants.URGENT_AGREE and seen[1][0] < constants.SHIFT_AGREE
+
+
+def test_a_press_that_comes_and_goes_moves_nobody():
+    chance, one = random.Random(3), service_part.Split(lambda: 1e6)
+    roles = {f"r{n}": "prefill" if n < 4 else "decode" for n in range(10)}
+    before = dict(roles)
+    for beat in range(60):
+        press = 3.0 if beat % constants.SHIFT_AGREE else 0.0
+        usage = {n: (press * 10 if role == "prefill" else chance.random(), 0, 10) for n, role in roles.items()}
+        roles = one.plan(POOL, usage, roles)
+    assert roles == before
+
+
+def test_a_broken_bound_is_mended_at_once():
+    assert split(10, 1, (0.1, 0.1), 5)[1:] == [(1, 2)] and split(10, 9, (0.1, 0.1), 5)[1:] == [(1, 8), (2, 7), (3, 6)]
+    assert split(4, 0, (0.0, 0.0), 3) == [(0, 0), (1, 1)]
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -7,7 +7,8 @@
 
 PLAIN = {"events": 0}
 NOT_ANSWERS = [{"close": True}, {"garbage": b"\x00\x01\xfe not an answer\r\n\r\n"}, {"garbage": b"HTTP/1.1 200 OK\r\nContent-Le"},
-               {"id": "another"}, {"id": ""}, {"stamp": False}, {"own": 500, "id": "another"}, {"bounce": 503, "id": "another"}]
+               {"id": "another"}, {"id": ""}, {"stamp": False}, {"own": 500, "id": "another"}, {"bounce": 503, "id": "another"},
+               {"cut": 1}, {"cut": 10}, {"cut": 23}, {"cut": 30}]       # 23: right after a line
 
 
 @pytest.fixture(scope="module")
