--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -21,8 +21,8 @@
 FOLDER = pathlib.Path(__file__).parent.parent / "platform"
 sys.path.append(str(FOLDER))
 
-import operator_front  # noqa: E402
-import replica_speech  # noqa: E402
+import operator_front
+import replica_speech
 
 ENGINE = {"berths": 8, "cache_tokens": 400000, "cache_token_bytes": 1, "link_mbps": 1.0, "stride": 12,
           "consignment_s": 5.0, "changeover_s": 1.8, "models": [{"name": "m"}]}
@@ -134,8 +134,8 @@
     def __init__(self):
         self.platform = stand_in.Platform()
         speech = replica_speech.Speech()
-        speech.list_beat = 0.05
-        self.desk, self.lease, self.count = desk(), Lease(), 0
+        speech.list_beat = 0.02
+        self.desk, self.lease, self.count, self.made = desk(), Lease(), 0, []
         settings = {"name": "r", "address": self.desk.address, "http": "127.0.0.1:0", "cell": "a",
                     "seeds": [self.desk.address], "list_url": f"http://{self.platform.address}", "slack": 1000}
         self.router = router_module.Router(self.desk, settings, speech)
@@ -156,6 +156,10 @@
         self.count += 1
         name = f"s{self.count}"
         found = [stand_in.Replica(self.platform, name, {"p": "prefill", "d": "decode"}[leg], **(facts or {})) for leg in legs]
+        self.made.append(found)
+        for old in self.made.pop(0) if len(self.made) > 3 else ():       # of a test that is over
+            del self.platform.replicas[old.listed]
+            old.stop()
         self.lease.change([route(f"r-{name}", f"{name}.example", name, **more)], [depot(name, engine)])
         until(lambda: all(r.name in self.router.replicas.rows for r in found))
         return f"{name}.example", found
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -57,19 +57,21 @@
         self.facts = {"zone": "a", "berths": 8, "condition": "in_service", "events": 4, "body": b"said", "gap": 0.0, **facts}
         self.faults, self.always = collections.deque(), {}
         self.asked, self.orders, self.freed, self.left = [], [], [], 0
+        self.order_status = 202
         self.held, self.stale = {}, {}      # handle -> id of its request; connection -> bytes
         super().__init__()
+        self.listed = self.name                 # the list lags: another life may already answer here
         platform.replicas[self.name] = self
 
     def row(self):
-        return {"replica_id": self.name, "depot": self.depot, "address": self.address, "zone": self.facts["zone"],
+        return {"replica_id": self.listed, "depot": self.depot, "address": self.address, "zone": self.facts["zone"],
                 "edition": "v1", "berths": self.facts["berths"], "condition": self.facts["condition"],
                 "cold_left_ms": 0, "leg": self.leg, "models": [{"name": "m", "edition": 1, "adapters": []}]}
 
     def answer(self, conn, request):
         if request.target == "/order":
             self.orders.append(json.loads(request.body))
-            conn.sendall(bare_http.head(202, [("Content-Length", 0)]))
+            conn.sendall(bare_http.whole(self.order_status, []))    # without a body
             return True
         if request.target.startswith("/kv-handle/") and request.method == "DELETE":
             name = urllib.parse.unquote(request.target.rpartition("/")[2])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -130,6 +130,14 @@
     assert answer.status == status and [len(r.body) for r in replica.asked] == ([size] if status == 200 else [])
 
 
+@pytest.mark.parametrize("events, kind, more", [(0, "once_only", []), (0, "repeatable", []), (0, "stream", []),
+                                                 (4, "stream", [("Last-Event-Id", "4")])])
+def test_an_empty_body_is_whole(site, events, kind, more):
+    host, (replica,) = site.service("d", engine=False, kind=kind, facts={"events": events, "body": b""})
+    own, answer = site.ask(host, headers=more, prompt=False)
+    assert (answer.status, answer.body, answer.complete) == (200, b"", True) and len(site.platform.ran(own)) == 1
+
+
 @pytest.mark.parametrize("host, target", [(None, "/q/x"), (None, "/p"), ("nobody.example", "/p/x"), ("", "/p/x")])
 def test_without_a_route_the_answer_is_404(site, host, target):
     own_host, (replica,) = site.service("d", engine=False)
@@ -190,7 +198,9 @@
     assert site.ask(host, prompt=False)[1].status == 200
 
 
-def test_an_order_whose_answer_has_no_body_counts_as_taken(site):
+@pytest.mark.parametrize("status, taken", [(202, True), (200, True), (409, False), (412, False), (400, False), (421, False)])
+def test_an_order_whose_answer_has_no_body_counts_by_its_status(site, status, taken):
     host, (replica,) = site.service("p")
-    assert site.router.speech.order_role(site.desk, f"http://{replica.address}", "decode", 41, "k1", 3)
+    replica.order_status = status
+    assert site.router.speech.order_role(site.desk, f"http://{replica.address}", "decode", 41, "k1", 3) == taken
     assert replica.orders == [{"order": "leg", "leg": "decode", "bearer": "k1", "fence_no": 41}]
--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -52,7 +52,7 @@
 @pytest.mark.parametrize("name", FRAMINGS)
 def test_nothing_is_smuggled_inside_another_request(site, name):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
-    mark = f"{abs(hash(name)):x}"
+    mark = str(list(FRAMINGS).index(name))
     inner = INNER % (host.encode(), mark.encode())
     rows = [b"POST /p/out HTTP/1.1", b"Host: " + host.encode(), b"Try-Id: outer-" + mark.encode(), *FRAMINGS[name](len(inner))]
     said = say(site, b"\r\n".join(rows) + b"\r\n\r\n" + b"0\r\n\r\n" + inner)
