--- a/mothshed/common/listed.py
+++ b/mothshed/common/listed.py
@@ -23,6 +23,7 @@
         self.number = 0         # of the list's news that is held
         self.fresh_at = desk.now() + constants.LIST_SILENT * desk.random.random()   # when the list held was read
         self.reading = False
+        self.silent, self.ask_span = constants.LIST_SILENT, constants.LIST_ASK
         desk.hear("list_news", self.on_news, constants.LIST_PART)
 
     def run(self):
@@ -31,10 +32,10 @@
     def tick(self):
         goal = self.owners.ask(constants.LIST_PART)
         self.desk.tell(goal, "list_ask", part=constants.LIST_PART, number=self.number)
-        if self.desk.now() - self.fresh_at > constants.LIST_SILENT and not self.reading:
+        if self.desk.now() - self.fresh_at > self.silent and not self.reading:
             self.reading = True
             self.desk.spawn(self.read_list)
-        self.desk.beat(constants.LIST_ASK * (0.9 + 0.2 * self.desk.random.random()), self.tick)
+        self.desk.beat(self.ask_span * (0.9 + 0.2 * self.desk.random.random()), self.tick)
 
     def on_news(self, sender, body):
         """What changed in the list, from the one that reads it for all."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -134,13 +134,13 @@
     def __init__(self):
         self.platform = stand_in.Platform()
         speech = replica_speech.Speech()
-        speech.list_beat = 0.02
         self.desk, self.lease, self.count, self.made = desk(), Lease(), 0, []
         settings = {"name": "r", "address": self.desk.address, "http": "127.0.0.1:0", "cell": "a",
                     "seeds": [self.desk.address], "list_url": f"http://{self.platform.address}", "slack": 1000}
         self.router = router_module.Router(self.desk, settings, speech)
         self.router.lease = self.lease
         self.router.budget.born -= 100              # old enough to use its part of the slack
+        self.router.replicas.silent = self.router.replicas.ask_span = 0.02      # nobody reads the list for it
         self.router.run()
         self.server = self.router.front()
         self.address = serve(self.server)
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -26,7 +26,7 @@
     """Placing over replicas p1, p2 .. and d1, d2 ..; with the pool that moves its time."""
     pool = all_orders.Pool()
     desk = all_orders.HandDesk(pool, "r:1")
-    found = listed.Listed(desk, "", journal.Journal(), None)
+    found = listed.Listed(desk, "", journal.Journal(), None, lambda: [])
     found.take_list({n: {"url": f"http://{n}", "cell": (cells or {}).get(n, "a"), "service": "s", "labels": {"service": "s"},
                          "leaving": False, "role": "prefill" if n[0] == "p" else "decode", "slots": 8} for n in roles})
     return placing.Placing(desk, found, "a"), pool
