--- a/mothshed/common/journal.py
+++ b/mothshed/common/journal.py
@@ -2,7 +2,8 @@
 
 Inside a process what happened is appended as an event, and everything that
 decisions read is a view folded from those events in order. The journal keeps
-the latest events for the log ring; views keep what they folded.
+the latest events, which the log ring writes out when something goes wrong; views
+keep what they folded.
 
 >>> j = Journal()
 >>> v = j.view(Count())
@@ -12,6 +13,7 @@
 """
 
 import collections
+import itertools
 import threading
 
 import mothshed.common.constants as constants
@@ -32,6 +34,7 @@
         self.now = now
         self.events = collections.deque(maxlen=constants.JOURNAL_MOST)
         self.views = []
+        self.given = None       # the last event handed out by fresh()
         self.lock = threading.RLock()
 
     def view(self, view):
@@ -45,6 +48,13 @@
             for view in self.views:
                 view.fold(kind, event)
 
+    def fresh(self):
+        """The events not handed out before, oldest first: [(kind, event)]."""
+        with self.lock:
+            rows = list(itertools.takewhile(lambda row: row is not self.given, reversed(self.events)))
+            self.given = rows[0] if rows else self.given
+        return rows[::-1]
+
 
 class Totals:
     """Counters for the metrics page: one per event kind and outcome."""
--- a/mothshed/common/ring.py
+++ b/mothshed/common/ring.py
@@ -3,6 +3,8 @@
 Nothing is logged to a file in ordinary running. `trouble` records a failure and
 writes the whole ring, as JSON lines, to the place named at start (a folder file
 or standard error), at most once in a few seconds so that a storm stays readable.
+The events of the process's journal that were not written before go out with it, in
+the same shape and ordered by time; `mothshed logs` reads what was written.
 """
 
 import collections
@@ -17,6 +19,7 @@
 import mothshed.common.constants as constants
 
 ROWS = collections.deque(maxlen=constants.RING_MOST)
+JOURNALS = []
 STATE = {"path": None, "last": -1e9, "name": "", "on": False}
 LOCK = threading.Lock()
 
@@ -32,6 +35,11 @@
         eliot.add_destinations(keep)
 
 
+def hold(journal):
+    """The journal's events are written out with the ring from now on."""
+    JOURNALS.append(journal)
+
+
 def note(kind, **fields):
     eliot.log_message(message_type=kind, **fields)
 
@@ -47,8 +55,18 @@
             write()
 
 
+def journalled():
+    """The journals' fresh events as rows; their moments count since boot, those of rows are wall time."""
+    for journal in JOURNALS:
+        boot = time.time() - journal.now()
+        for kind, event in journal.fresh():
+            own = {k: v for k, v in event.items() if k != "at"}
+            yield {"timestamp": boot + event["at"], "message_type": kind, **own}
+
+
 def write():
-    rows = "".join(json.dumps(row, default=str) + "\n" for row in list(ROWS))
+    found = sorted([*ROWS, *journalled()], key=lambda row: row.get("timestamp", 0))
+    rows = "".join(json.dumps({**row, "process": STATE["name"]}, default=str) + "\n" for row in found)
     ROWS.clear()
     if STATE["path"]:
         with open(STATE["path"], "a") as f:
--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -66,7 +66,8 @@
                 self.router.replicas.full(e.replica)
             if e.reason.startswith(("NewConnection", "ConnectTimeout")):
                 self.router.replicas.doubt(e.replica)
-        self.router.journal.add("send_failed", outcome=e.verdict.value, replica=e.replica, reason=e.reason)
+        self.router.journal.add("send_failed", outcome=e.verdict.value, replica=e.replica, reason=e.reason,
+                                request=self.request.id)
 
     def may_repeat(self, e):
         """Returns if the whole request may be done over; raises its end otherwise."""
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import functools
 
 import mothshed.common.constants as constants
 import mothshed.common.front as front
@@ -67,7 +68,7 @@
             begun = way.start()
         except BaseException as e:
             router.leave()
-            return self.failed(start, e)
+            return self.failed(start, e, way.ask.id if way else "")
         reply = begun[0]
         headers = [(k, v) for k, v in reply.headers.items() if k.lower() not in HOP or k.lower() == "content-length"]
         if router.leaving:
@@ -104,8 +105,8 @@
         headers = [("Connection", "close")] if self.router.leaving else []
         return front.fault(start, status, reason, verdict=code, retry=retry, headers=headers)
 
-    def failed(self, start, e):
-        add = self.router.journal.add
+    def failed(self, start, e, name):
+        add = functools.partial(self.router.journal.add, request=name)
         if isinstance(e, front.TooLarge):
             add("delivery", outcome="invalid")
             return self.fault(start, 413, "body is too long")
@@ -149,4 +150,4 @@
             self.rows.close()
             self.way.let_go()
             self.router.leave()
-            self.router.journal.add("delivery", outcome=self.outcome)
+            self.router.journal.add("delivery", outcome=self.outcome, request=self.way.ask.id)
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -5,6 +5,7 @@
 still get a status of their own.
 """
 
+import functools
 import json
 import time
 
@@ -63,7 +64,7 @@
             return self.failed(start, e, headers)
         finally:
             router.leave()
-        router.journal.add("request", outcome="done")
+        router.journal.add("request", outcome="done", request=request.id)
         return front.respond(start, 200, whole(request, rows), [("X-Request-Id", request.id)])
 
     def read(self, path, environ, headers, line):
@@ -80,8 +81,9 @@
 
     def failed(self, start, e, headers):
         name = headers.get("x-request-id", "")
-        extra = [("X-Request-Id", name)] if intake.ID.match(name) else []
-        add = self.router.journal.add
+        name = name if intake.ID.match(name) else ""
+        extra = [("X-Request-Id", name)] if name else []
+        add = functools.partial(self.router.journal.add, request=name)
         if isinstance(e, front.TooLarge):
             add("request", outcome="invalid")
             return front.fault(start, 413, f"body is over {constants.BODY_MOST} bytes",
@@ -161,4 +163,4 @@
             self.open = False
             self.run.close()
             self.router.leave()
-            self.router.journal.add("request", outcome=self.outcome)
+            self.router.journal.add("request", outcome=self.outcome, request=self.request.id)
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -5,6 +5,7 @@
 import cappa
 
 import mothshed.common.disk as disk_module
+import mothshed.common.ring as ring
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.programs.process as process
 
@@ -20,6 +21,7 @@
             keeper = keeper_module.Keeper(make(), settings, make, disk_module.Disk(settings["data"]))
         except disk_module.DiskFault as e:
             raise cappa.Exit(f"data folder is not usable: {e}", code=4) from e
+        ring.hold(keeper.journal)
         keeper.run()
         process.serve(keeper.front(), keeper.drain)
 
--- /dev/null
+++ b/mothshed/programs/logs.py
@@ -0,0 +1,60 @@
+"""Reading daemons' logs: several files of JSON lines, merged by time.
+
+The files are what `ring.write` made: one JSON object a line, each with its moment,
+its kind, the process and its own fields. A line that is none of these (another
+program's words on standard error, a line torn by a kill) is passed over and counted.
+Moments are the machines' own wall clocks: lines of two machines may stand in the
+wrong order by as much as these differ.
+
+>>> line({"timestamp": 0.5, "message_type": "free", "process": "route-1", "outcome": "done", "task_uuid": "x"})
+'1970-01-01T00:00:00.500Z route-1 free outcome=done'
+"""
+
+import datetime
+import json
+import pathlib
+
+HEAD = ("timestamp", "message_type", "process")
+EXTRA = ("task_uuid", "task_level")     # eliot's own marks; nothing here makes tasks of several messages
+
+
+def moment_of(row):
+    """Raises if the row has none that is a time."""
+    return datetime.datetime.fromtimestamp(row["timestamp"], datetime.timezone.utc)
+
+
+def row_of(text):
+    """The log row that a line of a file holds, or None."""
+    try:
+        row = json.loads(text)
+        moment_of(row)
+        return row if "message_type" in row else None
+    except (ValueError, TypeError, KeyError, OverflowError, OSError, RecursionError):
+        return None
+
+
+def read(paths, request=None):
+    """(rows by time, lines passed over); request: only the rows of that request id. Raises OSError."""
+    rows, over = [], 0
+    for path in paths:
+        with pathlib.Path(path).open(errors="replace") as file:
+            for text in file:
+                row = row_of(text)
+                if row is None:
+                    over += bool(text.strip())
+                elif request is None or row.get("request") == request:
+                    rows.append(row)
+    return sorted(rows, key=lambda row: row["timestamp"]), over
+
+
+def plain(value):
+    """A value on one line: text as it is while it has neither spaces nor quotes."""
+    if isinstance(value, str) and value and value.isprintable() and not set(value) & set(' "='):
+        return value
+    return json.dumps(value)
+
+
+def line(row):
+    fields = [f"{k}={plain(v)}" for k, v in row.items() if k not in HEAD + EXTRA]
+    moment = moment_of(row).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return " ".join([moment, row.get("process") or "-", str(row["message_type"]), *fields])
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 import secrets
+import sys
 import typing
 
 import cappa
@@ -15,6 +16,7 @@
 import mothshed.common.configuration as configuration
 import mothshed.common.manifests as manifests
 import mothshed.programs.ask as ask
+import mothshed.programs.logs as logs_module
 
 Keepers = typing.Annotated[typing.List[str], cappa.Arg(
     long="--keeper", required=True, help="ip:port of a keeper's HTTP front; may be given several times")]
@@ -117,6 +119,23 @@
             raise cappa.Exit(code=1)
 
 
+@cappa.command(name="logs", help="Prints several daemons' log rings, merged by time.")
+@dataclasses.dataclass
+class Logs:
+    files: typing.Annotated[typing.List[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")]
+    request: typing.Annotated[str, cappa.Arg(long=True, help="only what concerns this request id")] = ""
+
+    def __call__(self):
+        try:
+            rows, over = logs_module.read(self.files, self.request or None)
+        except OSError as e:
+            raise cappa.Exit(f"{e.filename}: {e.strerror}", code=2) from e
+        for row in rows:
+            print(logs_module.line(row))
+        if over:
+            print(f"{over} lines were no log lines", file=sys.stderr)
+
+
 @cappa.command(name="run", help="Runs a runbook: swap-keeper, recover-disk-machine, roll-out, roll-back, drain-router, "
                "replace-replica, diagnose-bounces, or a .yaml file.")
 @dataclasses.dataclass
@@ -167,7 +186,7 @@
 @cappa.command(name="mothshed", help="Operates a mothshed fleet.")
 @dataclasses.dataclass
 class Mothshed:
-    command: cappa.Subcommands[typing.Union[Config, Condition, RunBook, Fleet]]
+    command: cappa.Subcommands[typing.Union[Config, Condition, Logs, RunBook, Fleet]]
 
 
 def main():
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -5,6 +5,7 @@
 import cappa
 
 import mothshed.common.constants as constants
+import mothshed.common.ring as ring
 import mothshed.data_plane.router as router_module
 import mothshed.programs.process as process
 
@@ -16,6 +17,7 @@
     def __call__(self):
         settings = process.load(self)
         router = router_module.Router(process.desks(settings)(), settings)
+        ring.hold(router.journal)
         router.run()
         process.serve(router.front(), lambda: router.drain(settings.get("drain_s", constants.DRAIN_MOST)))
 
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,115 @@
+"""Logs: the ring writes the journal's events too, once each; `mothshed logs` merges by time."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+import mothshed.common.journal as journal_module
+import mothshed.common.ring as ring
+import mothshed.programs.logs as logs
+
+
+@pytest.fixture
+def ringed(tmp_path, monkeypatch):
+    """(path of the ring's file, a journal that it holds, its clock)."""
+    clock = [100.0]
+    journal = journal_module.Journal(lambda: clock[0])
+    monkeypatch.setattr(ring, "STATE", {"path": str(tmp_path / "ring"), "last": -1e9, "name": "route-1", "on": True})
+    monkeypatch.setattr(ring, "JOURNALS", [])
+    monkeypatch.setattr(ring.time, "time", lambda: 5000.0 + clock[0])
+    ring.ROWS.clear()
+    ring.hold(journal)
+    yield tmp_path / "ring", journal, clock
+    ring.ROWS.clear()
+
+
+def rows(path):
+    return [json.loads(text) for text in path.read_text().splitlines()]
+
+
+def test_events_and_messages_are_written_in_order_of_time(ringed):
+    path, journal, clock = ringed
+    journal.add("send_failed", replica="r1", request="a1")
+    clock[0] = 102.0
+    journal.add("free", outcome="done")
+    ring.keep({"timestamp": 5101.0, "message_type": "disk_fault"})
+    assert not path.exists()
+    ring.write()
+    assert rows(path) == [
+        {"timestamp": 5100.0, "message_type": "send_failed", "replica": "r1", "request": "a1", "process": "route-1"},
+        {"timestamp": 5101.0, "message_type": "disk_fault", "process": "route-1"},
+        {"timestamp": 5102.0, "message_type": "free", "outcome": "done", "process": "route-1"}]
+
+
+def test_an_event_is_written_once(ringed):
+    path, journal, clock = ringed
+    for number in range(3):
+        journal.add("free", number=number)
+        ring.write()
+        ring.write()
+    assert [row["number"] for row in rows(path)] == [0, 1, 2]
+
+
+def test_a_full_journal_gives_its_latest_and_gives_them_once(ringed):
+    path, journal, clock = ringed
+    journal.add("free", number=-1)
+    ring.write()
+    for number in range(journal.events.maxlen + 10):
+        journal.add("free", number=number)
+    assert [e["number"] for k, e in journal.fresh()] == list(range(10, journal.events.maxlen + 10))
+    assert journal.fresh() == []
+
+
+def put(path, *found):
+    path.write_text("".join(json.dumps(row) + "\n" for row in found))
+    return str(path)
+
+
+@pytest.fixture
+def files(tmp_path):
+    one = put(tmp_path / "route-1", {"timestamp": 3.0, "message_type": "delivery", "process": "route-1", "request": "a1"},
+              {"timestamp": 1.0, "message_type": "send_failed", "process": "route-1", "request": "a1", "reason": "no route = x"})
+    two = put(tmp_path / "keep-1", {"timestamp": 2.0, "message_type": "order", "process": "keep-1", "request": "b2"})
+    return one, two
+
+
+def run(*words):
+    return subprocess.run([sys.executable, "-m", "mothshed.programs.operate", "logs", *words], capture_output=True, text=True)
+
+
+def test_files_are_merged_by_time(files):
+    done = run(*files)
+    assert (done.returncode, done.stderr) == (0, "")
+    assert done.stdout.splitlines() == [
+        '1970-01-01T00:00:01.000Z route-1 send_failed request=a1 reason="no route = x"',
+        "1970-01-01T00:00:02.000Z keep-1 order request=b2", "1970-01-01T00:00:03.000Z route-1 delivery request=a1"]
+
+
+def test_one_request_alone(files):
+    done = run(*files, "--request", "b2")
+    assert done.stdout.splitlines() == ["1970-01-01T00:00:02.000Z keep-1 order request=b2"]
+    assert run(*files, "--request", "b").stdout == ""
+
+
+def test_what_is_no_log_line_is_passed_over_and_counted(files, tmp_path):
+    torn = tmp_path / "torn"
+    torn.write_bytes(b'Traceback (most recent call last):\n\n[1]\n{"timestamp": 4.0}\n\xff\xfe\n'
+                     b'{"timestamp": 5.0, "message_type": "late"}\n{"timestamp": 6.0, "mess\n'
+                     b'{"timestamp": NaN, "message_type": "x"}\n{"timestamp": 1e300, "message_type": "x"}\n{"message_type": "x"}')
+    done = run(str(torn))
+    assert done.stdout.splitlines() == ["1970-01-01T00:00:05.000Z - late"]
+    assert done.returncode == 0 and "8 lines were no log lines" in done.stderr
+
+
+def test_a_missing_file_is_named(files):
+    done = run(files[0], "/no/such/file")
+    assert done.returncode == 2 and "/no/such/file" in done.stdout + done.stderr
+    assert "delivery" not in done.stdout
+    assert run().returncode == 2
+
+
+def test_a_field_of_several_lines_stays_on_one():
+    row = {"timestamp": 0.0, "message_type": "x", "process": "p", "error": "a\nb", "n": 3, "none": None, "empty": ""}
+    assert logs.line(row) == '1970-01-01T00:00:00.000Z p x error="a\\nb" n=3 none=null empty=""'
