--- a/mothshed/common/ring.py
+++ b/mothshed/common/ring.py
@@ -3,8 +3,9 @@
 Nothing is logged to a file in ordinary running. `trouble` records a failure and
 writes the whole ring, as JSON lines, to the place named at start (a folder file
 or standard error), at most once in a few seconds so that a storm stays readable.
-The events of the process's journal that were not written before go out with it, in
-the same shape and ordered by time; `mothshed logs` reads what was written.
+The events of the process's journal that were not written before go out with it.
+Their moments count since boot; a message before them, `journal_written`, bears such
+a moment (`at`) beside the log library's own, and by it `mothshed logs` sets them in.
 """
 
 import collections
@@ -55,18 +56,11 @@
             write()
 
 
-def journalled():
-    """The journals' fresh events as rows; their moments count since boot, those of rows are wall time."""
-    for journal in JOURNALS:
-        boot = time.time() - journal.now()
-        for kind, event in journal.fresh():
-            own = {k: v for k, v in event.items() if k != "at"}
-            yield {"timestamp": boot + event["at"], "message_type": kind, **own}
-
-
 def write():
-    found = sorted([*ROWS, *journalled()], key=lambda row: row.get("timestamp", 0))
-    rows = "".join(json.dumps({**row, "process": STATE["name"]}, default=str) + "\n" for row in found)
+    events = [{"message_type": kind, **event} for journal in JOURNALS for kind, event in journal.fresh()]
+    if events:
+        note("journal_written", at=JOURNALS[0].now(), events=len(events))
+    rows = "".join(json.dumps({**row, "process": STATE["name"]}, default=str) + "\n" for row in [*ROWS, *events])
     ROWS.clear()
     if STATE["path"]:
         with open(STATE["path"], "a") as f:
--- a/mothshed/programs/logs.py
+++ b/mothshed/programs/logs.py
@@ -1,7 +1,8 @@
 """Reading daemons' logs: several files of JSON lines, merged by time.
 
 The files are what `ring.write` made: one JSON object a line, each with its moment,
-its kind, the process and its own fields. A line that is none of these (another
+its kind, the process and its own fields. The moments of a journal's events count since
+boot; the latest message of their process that bears both moments sets them in. A line that is none of these (another
 program's words on standard error, a line torn by a kill) is passed over and counted.
 Moments are the machines' own wall clocks: lines of two machines may stand in the
 wrong order by as much as these differ.
@@ -23,13 +24,18 @@
     return datetime.datetime.fromtimestamp(row["timestamp"], datetime.timezone.utc)
 
 
-def row_of(text):
-    """The log row that a line of a file holds, or None."""
+def row_of(text, boots):
+    """The log row that a line of a file holds, or None. boots: process -> when it counts from, kept up here."""
     try:
         row = json.loads(text)
+        name = row.get("process")
+        if "timestamp" not in row:
+            row["timestamp"] = boots[name] + row.pop("at")
+        elif "at" in row:
+            boots[name] = row["timestamp"] - row["at"]
         moment_of(row)
         return row if "message_type" in row else None
-    except (ValueError, TypeError, KeyError, OverflowError, OSError, RecursionError):
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError, OSError, RecursionError):
         return None
 
 
@@ -37,9 +43,10 @@
     """(rows by time, lines passed over); request: only the rows of that request id. Raises OSError."""
     rows, over = [], 0
     for path in paths:
+        boots = {}
         with pathlib.Path(path).open(errors="replace") as file:
             for text in file:
-                row = row_of(text)
+                row = row_of(text, boots)
                 if row is None:
                     over += bool(text.strip())
                 elif request is None or row.get("request") == request:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -18,7 +18,8 @@
     journal = journal_module.Journal(lambda: clock[0])
     monkeypatch.setattr(ring, "STATE", {"path": str(tmp_path / "ring"), "last": -1e9, "name": "route-1", "on": True})
     monkeypatch.setattr(ring, "JOURNALS", [])
-    monkeypatch.setattr(ring.time, "time", lambda: 5000.0 + clock[0])
+    monkeypatch.setattr(ring, "note", lambda kind, **fields: ring.keep(
+        {"timestamp": 5000.0 + clock[0], "message_type": kind, **fields}))
     ring.ROWS.clear()
     ring.hold(journal)
     yield tmp_path / "ring", journal, clock
@@ -26,21 +27,48 @@
 
 
 def rows(path):
-    return [json.loads(text) for text in path.read_text().splitlines()]
+    """Events as they were written, without the message that sets them in."""
+    found = [json.loads(text) for text in path.read_text().splitlines()]
+    return [row for row in found if row["message_type"] != "journal_written"]
 
 
-def test_events_and_messages_are_written_in_order_of_time(ringed):
+def test_events_and_messages_are_written_and_read_in_order_of_time(ringed):
     path, journal, clock = ringed
     journal.add("send_failed", replica="r1", request="a1")
     clock[0] = 102.0
     journal.add("free", outcome="done")
     ring.keep({"timestamp": 5101.0, "message_type": "disk_fault"})
     assert not path.exists()
+    clock[0] = 103.0
     ring.write()
     assert rows(path) == [
-        {"timestamp": 5100.0, "message_type": "send_failed", "replica": "r1", "request": "a1", "process": "route-1"},
-        {"timestamp": 5101.0, "message_type": "disk_fault", "process": "route-1"},
-        {"timestamp": 5102.0, "message_type": "free", "outcome": "done", "process": "route-1"}]
+        {"message_type": "disk_fault", "timestamp": 5101.0, "process": "route-1"},
+        {"message_type": "send_failed", "at": 100.0, "replica": "r1", "request": "a1", "process": "route-1"},
+        {"message_type": "free", "at": 102.0, "outcome": "done", "process": "route-1"}]
+    found, over = logs.read([path])
+    assert [(row["timestamp"], row["message_type"]) for row in found] == [
+        (5100.0, "send_failed"), (5101.0, "disk_fault"), (5102.0, "free"), (5103.0, "journal_written")]
+    assert over == 0 and found[0] == {
+        "timestamp": 5100.0, "message_type": "send_failed", "replica": "r1", "request": "a1", "process": "route-1"}
+
+
+def test_after_a_restart_of_the_machine_moments_count_anew(ringed):
+    path, journal, clock = ringed
+    journal.add("free", number=0)
+    ring.write()
+    clock[0] = 7.0                  # the clock since boot begins again; the test's wall time goes with it
+    journal.add("free", number=1)
+    ring.write()
+    assert [(row["timestamp"], row["number"]) for row in logs.read([path])[0] if "number" in row] == [(5007.0, 1), (5100.0, 0)]
+
+
+def test_an_event_that_nothing_sets_in_is_passed_over(tmp_path):
+    path = tmp_path / "ring"
+    path.write_text('{"message_type": "free", "at": 3.0, "process": "route-1"}\n'
+                    '{"message_type": "journal_written", "timestamp": 9.0, "at": 4.0, "process": "route-2"}\n'
+                    '{"message_type": "free", "at": 3.0, "process": "route-1"}\n')
+    found, over = logs.read([path])
+    assert [row["message_type"] for row in found] == ["journal_written"] and over == 2
 
 
 def test_an_event_is_written_once(ringed):
