--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -22,6 +22,7 @@
 MEMBER_SILENT = 5.0      # s; a silent member may be replaced by a caught-up one after this.
 FIRST_MEMBERS = 3        # members; the brief's deployments have three disk machines.
 PARTS = 4                # parts; part 0 is configuration, services hash over the rest.
+DISK_RETRY = 0.5         # s; a disk that failed is tried this often; then the keeper starts anew.
 COMMIT_WAIT = 3.0        # s; an operator's write unresolved by then is answered "unknown".
 
 # --- configuration leases ------------------------------------------------
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -32,7 +32,9 @@
 
 class Keeper:
     def __init__(self, desk, settings, new_desk, disk, chance=secrets.token_hex, speech=None):
-        self.desk, self.settings = desk, settings
+        self.desk, self.settings, self.disk = desk, settings, disk
+        self.ended = lambda: None       # told when this process should start anew
+        self.waiting = False
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
         self.who = incarnation(disk, settings["name"], chance)
@@ -48,11 +50,28 @@
                                         settings["first_keepers"], machine, self.gossip.keepers)
             duty = (orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech) if part
                     else config_part.ConfigDuty(seat))
+            seat.failed = self.disk_failed
             if speech and part == constants.LIST_PART:
                 list_duty.ListDuty(seat, self.replicas)
             self.members.append(seat)
             self.duties.append(duty)
 
+    def disk_failed(self):
+        """A member stopped for good: once the disk takes writes again, the process starts anew and rejoins."""
+        if not self.waiting:
+            self.waiting = True
+            self.desk.spawn(self.wait_for_disk)
+
+    def wait_for_disk(self):
+        while True:
+            self.desk.pause(constants.DISK_RETRY)
+            try:
+                self.disk.put("probe", b".")
+            except disk_module.DiskFault:
+                continue
+            self.ended()
+            return
+
     def lease_goals(self):
         return [self.desk.address] + self.gossip.keepers()
 
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -24,6 +24,7 @@
         self.first = list(first)
         self.known = known              # addresses of keepers from hints
         self.machine = machine          # apply(index, command), dump(), restore(state)
+        self.failed = lambda: None      # told once the disk has failed
         self.duties = []                # start() when owner, stop() when not
         self.log = disk_log.PartLog(disk, part)
         self.chart = charts.load("member")
@@ -65,6 +66,7 @@
         """What is on the disk is not known any more: this member takes no further part."""
         ring.trouble("disk_fault", e, part=self.part)
         self.stop()
+        self.failed()
 
     @property
     def owns(self):
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -22,6 +22,7 @@
         except disk_module.DiskFault as e:
             raise cappa.Exit(f"data folder is not usable: {e}", code=4) from e
         ring.hold(keeper.journal)
+        keeper.ended = process.start_anew
         keeper.run()
         process.serve(keeper.front(), keeper.drain)
 
--- a/mothshed/programs/process.py
+++ b/mothshed/programs/process.py
@@ -1,6 +1,7 @@
 """What both daemons share: settings from file and flags, signals, the long wait."""
 
 import dataclasses
+import os
 import signal
 import sys
 import threading
@@ -64,6 +65,11 @@
     threading.Thread(target=server.safe_start, daemon=True).start()
 
 
+def start_anew():
+    """Ends this process politely; whoever keeps it running starts it again."""
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
 def serve(server, stop, reread=lambda: None):
     """Serves until SIGTERM or SIGINT, then stop(); a second signal ends at once. SIGHUP: reread()."""
     asked = threading.Event()
