--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,103 @@
+"""Hollow fleets, small: what each role sends by size. No times: only counts, bytes and their lines."""
+
+import subprocess
+import sys
+
+import pytest
+
+import mothshed.common.constants as constants
+import tools.capacity as capacity
+import tools.hollow.design as design
+import tools.hollow.fleet as fleet_module
+import tools.hollow.parts as parts
+import tools.hollow.sweeps as sweeps
+import tools.hollow.trials as trials
+
+
+def few(routers=16, replicas=24, requests=0.0):
+    return design.Size(routers=routers, replicas=replicas, models=3, tenants=6, requests=requests)
+
+
+@pytest.fixture(scope="module")
+def steady():
+    return {n: trials.steady(few(n)) for n in (16, 24, 32, 48)}
+
+
+def test_a_router_sends_no_more_when_there_are_more_of_them(steady):
+    sent = [said["router"]["sent records"] for said in steady.values()]
+    assert max(sent) < 1.05 * min(sent)
+    told = [said["router"]["sent bytes"] for said in steady.values()]
+    assert max(told) < 1.1 * min(told)
+
+
+def test_the_owner_is_asked_four_times_a_second_by_everyone(steady):
+    beat = 1 / constants.ASK_BEAT
+    assert {n: said["state"]["asks at the owner"] for n, said in steady.items()} == {n: beat * (n + 2) for n in steady}
+    assert {n: said["state"]["leaseholders"] for n, said in steady.items()} == {n: n + 3 for n in steady}
+
+
+def test_a_view_stays_bounded_and_nothing_crashes(steady):
+    for said in steady.values():
+        assert said["state"]["neighbours"] <= constants.VIEW_MOST and said["state"]["faults"] == 0
+
+
+def test_a_change_is_in_force_everywhere(steady):
+    for n, said in steady.items():
+        assert said["change"]["in force after"] < design.IN_FORCE_S
+        assert said["change"]["news records"] >= n + 2
+
+
+def test_the_list_is_read_whole_by_every_router():
+    got = {n: trials.steady(few(6, n))["router"]["got bytes, list"] for n in (12, 24, 36, 48)}
+    steps = [got[24] - got[12], got[36] - got[24], got[48] - got[36]]
+    assert max(steps) <= 1.01 * min(steps) and min(steps) > 0       # linear: each replica is one more row
+
+
+def test_a_document_grows_by_the_same_bytes_with_each_tenant():
+    size = {n: parts.documents(n)["document bytes"] for n in (10, 20, 30, 40)}
+    assert size[20] - size[10] == size[30] - size[20] == size[40] - size[30]
+
+
+def test_sums_reach_each_router_for_every_busy_replica():
+    """The sums a router is told do not depend on who else reports, only on how many replicas are busy."""
+    said = {n: trials.steady(few(n, 24, 30.0))["router"] for n in (12, 24)}
+    assert abs(said[24]["got bytes, usage"] / said[12]["got bytes, usage"] - 1) < 0.15
+    assert said[12]["sent records, usage duty"] == said[24]["sent records, usage duty"]
+
+
+def test_a_cut_region_stops_and_the_rest_goes_on():
+    south = trials.region_cut(routers=9)
+    assert south["leased in the cut region at the end"] == 0
+    assert south["leased outside at the end"] == south["routers outside"]
+    assert south["in force outside after"] < design.IN_FORCE_S
+    keepers = trials.region_cut(routers=9, shared=True, whose="north")
+    assert keepers["leased outside at the end"] == 0 and keepers["in force outside after"] is None
+
+
+def test_a_hollow_request_is_answered_whole():
+    said = parts.requests(24, events=3)
+    assert said["answered"] and said["request"] > 0
+
+
+def test_the_design_size_is_the_letters():
+    pages = design.list_pages(design.Size())
+    assert len(pages) == -(-design.REPLICAS // design.PAGE) and len(set(design.CELLS)) == design.ZONES
+    assert len(design.document(design.Size())["routes"]) == design.TENANTS
+    assert fleet_module.DRAW_BEAT == constants.USAGE_BEAT       # drawn anew once per report
+
+
+def test_every_slope_has_four_sizes_or_more():
+    for table in (sweeps.FULL, sweeps.SMALL):
+        used = {sweep for name, sweep, path, unit in sweeps.SLOPES if sweep in table}
+        assert all(len(table[sweep][2]) >= 4 for sweep in used)
+
+
+@pytest.mark.parametrize("words, said", [(["--only", "nothing"], "no sweep is named nothing"), (["--jobs", "9"], "--jobs")])
+def test_bad_words_are_named(words, said):
+    done = subprocess.run([sys.executable, "-m", "tools.capacity", *words], capture_output=True, text=True)
+    assert done.returncode == 2 and said in " ".join((done.stdout + done.stderr).split())
+
+
+def test_a_failed_trial_is_an_error():
+    with pytest.raises(capacity.TrialFailed, match="no_such"):
+        capacity.trial("trials", "no_such", {})
--- /dev/null
+++ b/tools/hollow/fleet.py
@@ -0,0 +1,130 @@
+"""A hollow fleet: whole routers and keepers of the product, hundreds in one process.
+
+Each is put together as the programs do it, with the platform's own way of speaking:
+gossip, lease, list, placing, usage, members, duties. Hollow are the sockets, threads
+and requests: what a router has running is drawn anew on every beat and set where the
+product keeps it. Replicas are rows of the list only; no order reaches one.
+"""
+
+import json
+
+import replica_speech
+import mothshed.control_plane.keeper as keeper_module
+import mothshed.data_plane.router as router_module
+import tools.hollow.books as books_module
+import tools.hollow.design as design
+import tools.simulator.desk as desk_module
+import tools.simulator.loop as loop_module
+
+DRAW_BEAT = 0.2     # s; what is running is drawn anew
+
+
+class HollowFleet:
+    def __init__(self, seed, size, shared_regions=False):
+        """shared_regions: all keepers in the first region, instead of one in each."""
+        self.size, self.books = size, books_module.Books()
+        self.loop = books_module.HollowLoop(seed, self.books)
+        self.net = books_module.HollowNetwork(self.loop, self.books)
+        self.pages, self.parse = design.list_pages(size), json.loads
+        self.names = [json.loads(p)["replicas"] for p in self.pages]
+        rows = [r for page in self.names for r in page]
+        self.readers = [r["replica_id"] for r in rows if r["leg"] == "prefill"] or [rows[0]["replica_id"]]
+        self.writers = [r["replica_id"] for r in rows if r["leg"] == "decode"]
+        self.chance = design.seeded(seed, "running")
+        self.parts, self.addresses, self.disks, self.applied = {}, {}, {}, 0
+        self.drawing = False
+        self.seeds = [f"10.1.0.{at + 1}:70" for at in range(3)]
+        for at in range(3):
+            self.add_keeper(f"keep-{at + 1}", 0 if shared_regions else at, self.seeds[at])
+        for at in range(size.routers):
+            self.add_router(f"route-{at + 1}", at)
+
+    def desk(self, machine, address, label=""):
+        self.net.machines[address] = machine
+        desk = desk_module.SimDesk(self.loop, self.net, machine, address, label)
+        desk.web = books_module.HollowWeb(self, machine)
+        return desk
+
+    def settings(self, name, at, address):
+        self.addresses[name], self.net.places[name] = address, design.cell(at)
+        self.net.ears[address] = {}
+        return {"name": name, "address": address, "http": address.replace(":70", ":80"), "cell": design.cell(at),
+                "seeds": list(self.seeds), "first_keepers": list(self.seeds), "list_url": "http://10.0.0.2:80"}
+
+    def add_keeper(self, name, at, address):
+        machine = loop_module.Machine(self.loop, name)
+        settings, label = self.settings(name, at, address), iter(range(10 ** 6))
+        self.disks[name] = desk_module.SimDisk(self.loop, machine)
+        keeper = keeper_module.Keeper(self.desk(machine, address, next(label)), settings,
+                                      lambda: self.desk(machine, address, next(label)), self.disks[name],
+                                      lambda n: f"{self.loop.random.getrandbits(8 * n):x}", replica_speech.Speech())
+        keeper.run()
+        self.parts[name] = keeper
+
+    def add_router(self, name, at):
+        machine = loop_module.Machine(self.loop, name)
+        address = f"10.2.{at // 200}.{at % 200 + 1}:70"
+        router = router_module.Router(self.desk(machine, address), self.settings(name, at, address), replica_speech.Speech())
+        router.run()
+        self.parts[name] = router
+
+    def begin_requests(self):
+        for router in self.routers():
+            self.draw(router)
+
+    def draw(self, router):
+        """Sets what this router has running, as many requests as the size says."""
+        router.replicas.mine = design.running(self.size, self.chance, self.readers, self.writers)
+        for name in list(router.placing.reading):
+            router.placing.reading[name] = 0
+        for name in self.readers:
+            if name in router.replicas.mine:
+                router.placing.reading[name] = 4000 * router.replicas.mine[name]
+        self.loop.at(DRAW_BEAT, None, lambda: self.draw(router))
+
+    def routers(self):
+        return [p for n, p in self.parts.items() if n.startswith("route")]
+
+    def keepers(self):
+        return [p for n, p in self.parts.items() if n.startswith("keep")]
+
+    def owner(self, part=0):
+        return next((k for k in self.keepers() if k.members[part].owns), None)
+
+    def run(self, span):
+        self.loop.run(self.loop.time + span)
+
+    def apply(self, done=lambda result: None):
+        """A new document, put to the owner of the configuration."""
+        self.applied += 1
+        machine = self.owner().members[0].machine
+        self.owner().members[0].propose(
+            {"op": "stage", "base": machine.latest, "by": "capacity", "id": f"change-{self.applied}",
+             "doc": design.document(self.size, self.applied)}, done)
+
+    def in_force(self, sequence):
+        """How many routers may send under this sequence or a later one now."""
+        return sum((r.lease.sequence() or 0) >= sequence for r in self.routers())
+
+    def ready(self, most=30.0):
+        """Until every router serves under the first document and knows the list."""
+        until, asked = self.loop.time + most, False
+        while self.loop.time < until:
+            self.run(0.25)
+            if self.owner() and not asked and self.owner().members[0].ready:
+                self.apply()
+                asked = True
+            if asked and self.in_force(1) == len(self.routers()) and all(r.ready() for r in self.routers()):
+                self.run(2.0)       # views settle, owners of parts are found
+                return self
+        raise RuntimeError("the hollow fleet never became ready")
+
+    def measure(self, span):
+        """What so many simulated seconds cost; the books hold only these."""
+        if self.size.requests and not self.drawing:
+            self.drawing = True
+            self.begin_requests()
+            self.run(0.6)       # the first reports are in
+        self.books.clear()
+        self.run(span)
+        return self.books
--- /dev/null
+++ b/tools/hollow/parts.py
@@ -0,0 +1,189 @@
+"""Trials on single parts of the product where a whole fleet would be too dear or would hide them."""
+
+import gc
+import json
+import time
+import tracemalloc
+
+import mothshed.common.constants as constants
+import mothshed.common.disk_log as disk_log
+import mothshed.common.records as records
+import mothshed.control_plane.config_part as config_part
+import mothshed.control_plane.usage_duty as usage_duty
+import mothshed.data_plane.route_front as route_front
+import tools.hollow.design as design
+import tools.hollow.fleet as fleet_module
+import tools.simulator.desk as desk_module
+
+
+def spent(call, least=0.3):
+    """Processor seconds of one call, the mean over as many as take `least`."""
+    began, count = time.process_time(), 0
+    while time.process_time() - began < least:
+        call()
+        count += 1
+    return (time.process_time() - began) / count
+
+
+def held(make):
+    """(what make() returned, bytes of memory that Python holds for it)."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    found = make()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return found, after - before
+
+
+class LoneDesk:
+    """A desk without network: the clock stands still, what is told is packed and counted."""
+
+    address = "10.1.0.1:70"
+
+    def __init__(self):
+        self.records = self.bytes = 0
+
+    def now(self):
+        return 1000.0
+
+    def hear(self, kind, call, part=None):
+        pass
+
+    def tell(self, goal, kind, **body):
+        self.records += 1
+        self.bytes += len(records.pack(kind, **body))
+
+
+class LoneMember:
+    owns, part = True, 1
+
+    def __init__(self):
+        self.desk = LoneDesk()
+
+
+def usage_reports(routers, size=design.Size(requests=design.REQUESTS_S / design.NODES)):
+    """What one usage report costs the owner of a service part when so many routers report."""
+    member = LoneMember()
+    duty = usage_duty.UsageDuty(member)
+    chance = design.seeded("usage", routers)
+    names = [r["replica_id"] for page in design.list_pages(size) for r in json.loads(page)["replicas"] if r["leg"] == "decode"]
+    names = names[::constants.PARTS - 1]            # one part's share of the replicas
+    few = design.Size(requests=size.requests / (constants.PARTS - 1))
+    bodies = {f"10.2.0.{at}:70": {"rows": {n: [count, 0, 0.0, 0] for n, count in design.running(few, chance, names, names).items()},
+                                  "mark": 1} for at in range(routers)}
+    for sender, body in bodies.items():
+        duty.reports[sender] = (1000.0, body["rows"])
+    sender, body = next(iter(bodies.items()))
+    cost = spent(lambda: duty.on_usage(sender, body))
+    up = len(records.pack("usage", part=1, mark=1, rows=body["rows"]))
+    return {"processor a report": cost, "report bytes": up, "sums bytes": member.desk.bytes / member.desk.records,
+            "rows a report": sum(len(b["rows"]) for b in bodies.values()) / routers}
+
+
+def documents(tenants):
+    """What one configuration document weighs, on the way, in memory and in a keeper's state."""
+    size = design.Size(tenants=tenants)
+    doc = design.document(size)
+    text = json.dumps(doc, separators=(",", ":"))
+    own, memory = held(lambda: json.loads(text))
+    row = {"doc": doc, "by": "operator", "id": "0" * 32}
+    news = dict(part=0, number=1, active=1, docs=[[2, doc]])
+    data = records.pack("news", **news)
+    machine = config_part.ConfigMachine()
+    machine.docs = {at: row for at in range(1, constants.HISTORY + 1)}
+    state = design.packed(machine.dump())
+    entries = constants.APPEND_MOST // 2 * design.packed([{"i": 1, "t": 1, "c": {"op": "stage", **row, "base": 1}}])
+    return {"document bytes": len(text), "news bytes": len(data), "memory": memory,
+            "pack": spent(lambda: records.pack("news", **news)), "unpack": spent(lambda: records.unpack(data)),
+            "snapshot bytes": state, "largest append bytes": entries, "record most": constants.RECORD_MOST}
+
+
+def log_of(changes):
+    """What a keeper's log of so many changes holds in memory and on disk."""
+    class Machine:
+        name = "keep"
+
+        def freeze(self, span):
+            pass
+    disk = desk_module.SimDisk(None, Machine())
+    log = disk_log.PartLog(disk, 0)
+    text = json.dumps(design.document(design.Size()))
+
+    def fill():
+        for at in range(changes):
+            doc = json.loads(text)
+            log.put([{"i": 2 * at + 1, "t": 1, "c": {"op": "stage", "base": at, "doc": doc, "by": "", "id": str(at)}}])
+            log.put([{"i": 2 * at + 2, "t": 1, "c": {"op": "activate", "sequence": at + 1}}])
+    memory = held(fill)[1] - sum(len(b) for b in disk.kept.values())    # the disk is in memory here
+    return {"memory": memory, "disk bytes": sum(len(b) for b in disk.kept.values())}
+
+
+class HollowReply:
+    """A replica's whole answer: a head, and events one by one."""
+
+    status, reason, headers = 200, "OK", {"Content-Type": "text/event-stream"}
+
+    def __init__(self, events):
+        self.events = events
+
+    def pieces(self):
+        for at in range(self.events):
+            yield b'id: %d\ndata: {"token":" word"}\n\n' % (at + 1)
+
+    def patience(self, span):
+        pass
+
+    def close(self):
+        pass
+
+
+class HollowSpeech:
+    """Answers every send at once; its formats are the platform's, and not counted here."""
+
+    def __init__(self, events, inner):
+        self.events, self.inner = events, inner
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def prefill(self, desk, ask, place, left, read, ready, urgency):
+        ready()
+        return None     # the writer reads for itself: no free is left behind
+
+    def decode(self, desk, ask, place, handle, left, read, ready, after, urgency, wary):
+        ready()
+        return HollowReply(self.events)
+
+
+def requests(replicas, events=0):
+    """Processor time of one delivered request: from the front's call to the end of its body, no socket."""
+    size = design.Size(routers=2, replicas=replicas)
+    fleet = fleet_module.HollowFleet("requests", size).ready()
+    router = fleet.routers()[0]
+    router.speech = HollowSpeech(events, router.speech)
+    app = route_front.RouteFront(router)
+    environ = {"REQUEST_METHOD": "POST", "REQUEST_URI": "/v1/answers/", "HTTP_HOST": "tenant-007.fleet.example",
+               "HTTP_TRY_ID": "t-1", "HTTP_TIME_LEFT": "8000", "HTTP_TOKENS": "4000",
+               "HTTP_PROMPT_PREFIX": "5c1e:800,91bd:3200"}
+    count = [0, 0]
+
+    def one():
+        said = app(environ, lambda status, headers: count.__setitem__(0, count[0] + status.startswith("200")))
+        for event in said:
+            count[1] += 1
+        if hasattr(said, "close"):
+            said.close()
+    whole = spent(one)
+    if count[1] < count[0] * max(1, events):
+        raise RuntimeError("a hollow request was not answered whole")
+    ask = route_front.Ask("t", "POST", "tenant-007.fleet.example", "/v1/answers/", {}, b"", [("5c1e", 800), ("91bd", 3200)],
+                          4000, None, fleet.loop.time, fleet.loop.time + 8, router.lease.document()["routes"][7])
+    sequence, document = router.lease.sequence(), router.lease.document()
+
+    def place():
+        pair = router.placing.pair(sequence, document, design.model(7), ask)
+        router.placing.read(pair)
+        router.replicas.end(pair.writer.name)
+    return {"request": whole, "placing": spent(place), "answered": count[0] > 0}
--- /dev/null
+++ b/tools/hollow/real.py
@@ -0,0 +1,107 @@
+"""Trials on the real thing where hollow processes prove nothing: memory, threads, sockets."""
+
+import json
+import os
+import socket
+import threading
+import time
+
+import mothshed.common.front as front
+import mothshed.common.peers as peers
+import mothshed.common.records as records
+import mothshed.common.world as world
+
+
+def condition_of(pid="self"):
+    """Resident KiB and threads of a process."""
+    with open(f"/proc/{pid}/status") as f:
+        rows = dict(line.split(":", 1) for line in f)
+    return int(rows["VmRSS"].split()[0]), int(rows["Threads"])
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as s:
+        return s.getsockname()[1]
+
+
+def idle_router(replicas, tenants):
+    """Resident KiB of one router process, step by step, nothing served yet."""
+    bare = condition_of()
+    import tools.hollow.design as design        # after the bare figure; brings the platform's modules
+    import mothshed.common.constants as constants
+    import mothshed.data_plane.router as router_module
+    import mothshed.programs.process        # what the program itself imports beside
+    import replica_speech
+    loaded = condition_of()
+    address, http = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+    own = peers.Peers(address)
+    desk = world.Desk(world.Beats(), own, address)
+    speech = replica_speech.Speech()
+    router = router_module.Router(desk, {"name": "r", "cell": "a", "seeds": [], "list_url": "http://127.0.0.1:1", "http": http}, speech)
+    built = condition_of()
+    server = router.front()
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    ready = front.Server(f"127.0.0.1:{free_port()}", lambda environ, start: [], constants.READY_THREADS)
+    ready.prepare()
+    time.sleep(0.5)
+    served = condition_of()
+    size = design.Size(replicas=replicas, tenants=tenants)
+    rows = {r["replica_id"]: speech.row(r) for page in design.list_pages(size) for r in json.loads(page)["replicas"]}
+    router.replicas.take_list(rows)
+    listed = condition_of()
+    text = json.dumps(design.document(size))
+    for sequence in (1, 2):                 # the one in force and one that is staged
+        router.lease.docs[sequence] = json.loads(text)
+    held = condition_of()
+    return {"bare": bare[0], "imports": loaded[0], "parts": built[0], "front": served[0], "list": listed[0],
+            "documents": held[0], "threads": held[1]}
+
+
+def connections(count):
+    """Resident KiB and threads that so many peers cost one process: a real connection to each."""
+    address = f"127.0.0.1:{free_port()}"
+    own = peers.Peers(address)
+    heard = []
+    own.hear("paid", None, lambda who, body: heard.append(who))
+    before = condition_of()
+    lines = []
+    for at in range(count):
+        line = socket.create_connection(peers.split(address))
+        line.sendall(records.pack("hello", address=f"10.9.{at // 250}.{at % 250}:1")
+                     + records.pack("paid", request="r" * 40, replica="i-1"))
+        lines.append(line)
+    until = time.monotonic() + 20
+    while len(heard) < count and time.monotonic() < until:
+        time.sleep(0.02)
+    for who in list(own.peers):
+        own.tell(who, "paid", request="r" * 40, replica="i-1")
+    time.sleep(0.3)
+    after = condition_of()
+    files = len(os.listdir("/proc/self/fd")) - count        # this trial's own ends are not the process's
+    return {"resident KiB": after[0] - before[0], "threads": after[1] - before[1], "files": files, "heard": len(heard)}
+
+
+def records_between(body_bytes, most=1.5):
+    """Processor time of one record from one real process part to another and back, both ends in it."""
+    ends = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    beats, gate = world.Beats(), threading.Event()
+    desks = [world.Desk(beats, peers.Peers(at), at) for at in ends]
+    text = "r" * body_bytes
+    desks[1].hear("paid", lambda who, body: desks[1].tell(who, "paid", request=text, replica="i"))
+    desks[0].hear("paid", lambda who, body: gate.set())
+
+    def once():
+        gate.clear()
+        desks[0].tell(ends[1], "paid", request=text, replica="i")
+        if not gate.wait(5):
+            raise RuntimeError("a record was lost on the local host")
+    for _ in range(20):
+        once()
+    began, count, until = time.process_time(), 0, time.monotonic() + most
+    while time.monotonic() < until:
+        once()
+        count += 1
+    # sending and receiving are half each of one way; a way and back is two of each
+    return {"processor a record": (time.process_time() - began) / count / 2, "records": 2 * count,
+            "record bytes": len(records.pack("paid", request=text, replica="i"))}
