--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -69,7 +69,8 @@
 def show(found, out=print):
     for name, sweep, unit, points, line in slopes(found):
         said = "  ".join(f"{x:g}: {y:.4g}" for x, y in points)
-        out(f"{name} [{unit}] by {sweep}: slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
+        due = sweeps.DESIGN[sweep]
+        out(f"{name} [{unit}] by {sweep}: at {due:g} {fits.at(line, due):.4g}, slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
             f"error {100 * line['error']:.1f} %, worst {100 * line['worst']:.1f} %   ({said})")
     for sweep in ("idle", "cuts"):
         for words, said in found.get(sweep, []):
--- a/tools/hollow/sweeps.py
+++ b/tools/hollow/sweeps.py
@@ -23,6 +23,9 @@
     "tenants": ("parts", "documents", [{"tenants": n} for n in (10, 20, 30, 40)]),
     "cuts": ("trials", "region_cut", [{"whose": "south", "routers": 9}]),
 }
+# where each sweep's line is read for the size to design for; a log holds 128 changes between snapshots and 32 behind
+DESIGN = {"routers": 400, "replicas": 770, "requests": LOAD, "tenants": 240, "reports": 400, "changes": 160, "placing": 770,
+          "events": 258, "connections": 402, "record bytes": 100}
 # (figure, sweep, where it stands in a trial's figures, unit)
 SLOPES = [
     ("router: records sent a second", "routers", ("router", "sent records"), "a second"),
@@ -39,6 +42,7 @@
     ("change: keepers' processor", "routers", ("change", "keepers processor"), "s"),
     ("change: lease asks while it lasts", "routers", ("change", "asks"), "records"),
     ("change: in force everywhere after", "routers", ("change", "in force after"), "simulated s"),
+    ("change: routers with a lease at the worst moment", "routers", ("change", "least leased"), "routers"),
     ("router: list bytes got", "replicas", ("router", "got bytes, list"), "B/s"),
     ("router: list processor", "replicas", ("router", "processor, list"), "core"),
     ("router: gossip processor", "replicas", ("router", "processor, gossip"), "core"),
--- a/tools/hollow/trials.py
+++ b/tools/hollow/trials.py
@@ -60,13 +60,15 @@
     fleet.books.clear()
     began, box, size = fleet.loop.time, [], fleet.size
     fleet.apply(lambda result: box.append((result, fleet.loop.time)))
+    least = size.routers            # routers with a lease of any sequence, at the worst moment
     while fleet.in_force(fleet.applied) < size.routers and fleet.loop.time < began + 20:
         fleet.run(0.01)
+        least = min(least, fleet.in_force(1))
     books = fleet.books
     docs = ("news", "grant", "news_ack")
     own = [kind for kind in ("news", "grant", "append", "snap")]
     return {"acknowledged after": box[0][1] - began if box else None, "in force after": fleet.loop.time - began,
-            "keepers sent bytes": books.total(books.bytes, "keep", own),
+            "least leased": least, "keepers sent bytes": books.total(books.bytes, "keep", own),
             "news records": books.sent[("keep", "news")], "news bytes": books.bytes[("keep", "news")],
             "asks": sum(n for (role, kind), n in books.sent.items() if kind == "ask"),
             "keepers processor": books.total(books.spent, "keep", books_module.PARTS["configuration and agreement"]),
