--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -90,6 +90,7 @@
     for table in (sweeps.FULL, sweeps.SMALL):
         used = {sweep for name, sweep, path, unit in sweeps.SLOPES if sweep in table}
         assert all(len(table[sweep][2]) >= 4 for sweep in used)
+        assert used <= set(sweeps.DESIGN)
 
 
 @pytest.mark.parametrize("words, said", [(["--only", "nothing"], "no sweep is named nothing"), (["--jobs", "9"], "--jobs")])
--- a/tools/hollow/books.py
+++ b/tools/hollow/books.py
@@ -59,6 +59,7 @@
     def __init__(self, seed, books):
         super().__init__(seed)
         self.books = books
+        self.charged = False    # whether a machine is busy for as long as its events took this processor
 
     def spawn(self, machine, call):
         super().spawn(machine, call)
@@ -70,13 +71,19 @@
             self.time = max(self.time, due)
             if machine and (not machine.alive or machine.epoch != epoch):
                 continue
+            if self.charged and machine and machine.frozen_until > self.time:
+                heapq.heappush(self.heap, (machine.frozen_until, number, machine, epoch, call))
+                continue
             began = time.process_time()
             try:
                 call()
             except Exception as e:
                 self.faults.append((self.time, machine.name if machine else "", e))
             if machine:
-                self.books.spent[(role_of(machine.name), label_of(call))] += time.process_time() - began
+                took = time.process_time() - began
+                self.books.spent[(role_of(machine.name), label_of(call))] += took
+                if self.charged:
+                    machine.frozen_until = self.time + took
         self.time = until
 
 
@@ -109,7 +116,7 @@
     def delay(self, one, other):
         here, there = self.places.get(one.name, ""), self.places.get(other.name, "")
         way = design.NEAR if design.region(here) == design.region(there) else design.FAR
-        due = self.loop.time + way * (1 + 0.2 * self.loop.random.random())
+        due = max(self.loop.time, one.frozen_until if self.loop.charged else 0.0) + way * (1 + 0.2 * self.loop.random.random())
         due = max(due, self.last.get((one.name, other.name), 0.0) + 1e-6)
         self.last[(one.name, other.name)] = due
         return due - self.loop.time
--- a/tools/hollow/sweeps.py
+++ b/tools/hollow/sweeps.py
@@ -23,8 +23,9 @@
     "tenants": ("parts", "documents", [{"tenants": n} for n in (10, 20, 30, 40)]),
     "cuts": ("trials", "region_cut", [{"whose": "south", "routers": 9}]),
 }
-# where each sweep's line is read for the size to design for; a log holds 128 changes between snapshots and 32 behind
-DESIGN = {"routers": 400, "replicas": 770, "requests": LOAD, "tenants": 240, "reports": 400, "changes": 160, "placing": 770,
+# where each sweep's line is read for the size to design for; a log holds 128 changes
+# between snapshots, 32 behind the last one, and that one 32 documents older still
+DESIGN = {"routers": 400, "replicas": 770, "requests": LOAD, "tenants": 240, "reports": 400, "changes": 192, "placing": 770,
           "events": 258, "connections": 402, "record bytes": 100}
 # (figure, sweep, where it stands in a trial's figures, unit)
 SLOPES = [
--- a/tools/hollow/trials.py
+++ b/tools/hollow/trials.py
@@ -75,6 +75,30 @@
             "router processor": books.total(books.spent, "route", docs) / size.routers}
 
 
+def charged_change(size, seed="capacity", most=30.0):
+    """A change while every event keeps its machine busy for the processor time it took here.
+
+    So an owner that packs hundreds of documents is late with its heartbeats, as a real one is.
+    """
+    fleet = fleet_module.HollowFleet(seed, size).ready()
+    fleet.loop.charged = True
+    fleet.run(2.0)
+
+    def term():
+        return max(k.members[0].log.term for k in fleet.keepers())
+    calm, own, began = term(), fleet.owner(), fleet.loop.time
+    fleet.run(2.0)
+    if fleet.owner() is None or term() != calm:
+        return {"calm": False, "elections": term() - calm}
+    least, began = size.routers, fleet.loop.time
+    fleet.apply()
+    while fleet.in_force(fleet.applied) < size.routers and fleet.loop.time < began + most:
+        fleet.run(0.02)
+        least = min(least, fleet.in_force(1))
+    return {"calm": True, "in force after": fleet.loop.time - began, "in force at": fleet.in_force(fleet.applied),
+            "elections": term() - calm, "owner is the same": fleet.owner() is own, "least leased": least}
+
+
 def region_cut(routers=60, shared=False, whose="south", seed="cut"):
     """A region is cut off and the configuration changes right after; some seconds later it heals.
 
