--- a/tools/hollow/books.py
+++ b/tools/hollow/books.py
@@ -32,7 +32,7 @@
 
 
 PARTS = {
-    "list": ("Listed.read_lists", "list page"),
+    "list": ("Listed.tick", "Listed.read_list", "list_ask", "list_news", "list page"),
     "gossip": ("Gossip.tick", "shuffle"),
     "lease": ("Lease.tick", "grant", "news", "look_elsewhere"),
     "usage": ("UsageShare.tick", "usages"),
--- a/tools/hollow/design.py
+++ b/tools/hollow/design.py
@@ -7,12 +7,7 @@
 import dataclasses
 import json
 import random
-import sys
-import pathlib
 
-sys.path.append(str(pathlib.Path(__file__).parent.parent.parent / "platform"))
-
-import operator_front
 import mothshed.common.configuration as configuration
 
 REGIONS, ZONES = ("north", "middle", "south"), 8
@@ -53,45 +48,40 @@
     return f"model-{at:02d}"
 
 
-def replica(at, size):
-    """One row of the platform's list, in the platform's words."""
-    name = model(at % size.models)
-    return {"depot": name, "address": f"10.{64 + at // 250}.{at % 250}.9:8080", "zone": cell(at), "edition": "v1",
-            "berths": 64, "condition": "in_service", "cold_left_ms": 0,
-            "leg": "prefill" if (at // size.models) % 100 < 100 * READERS_SHARE else "decode",
-            "models": [{"name": name, "edition": 1, "adapters": []}], "replica_id": f"i-{at:08x}"}
+def rows(size):
+    """The list of replicas: name -> row. Readers are spread over each model's own, so that each has some."""
+    found, by = {}, {}
+    for at in range(size.replicas):
+        name = model(at % size.models)
+        row = {"url": f"http://10.{64 + at // 250}.{at % 250}.9:8080", "cell": cell(at), "service": name,
+               "labels": {"service": name}, "leaving": False, "role": "decode", "slots": 64}
+        found[f"i-{at:08x}"] = row
+        by.setdefault(name, []).append(row)
+    for own in by.values():
+        for row in own[:max(1, round(READERS_SHARE * len(own))) if len(own) > 1 else 0]:
+            row["role"] = "prefill"
+    return found
 
 
 def list_pages(size):
-    """The platform's list as its pages' bytes."""
-    rows = [replica(at, size) for at in range(size.replicas)]
-    # the readers are spread over each model's own replicas, so that every model has some
-    by = {}
-    for row in rows:
-        by.setdefault(row["depot"], []).append(row)
-    for own in by.values():
-        for at, row in enumerate(own):
-            row["leg"] = "prefill" if at < max(1, round(READERS_SHARE * len(own))) and len(own) > 1 else "decode"
-    pages = [rows[at:at + PAGE] for at in range(0, len(rows), PAGE)] or [[]]
-    return [json.dumps({"replicas": page, "next_token": f"p-{n + 1}" if n + 1 < len(pages) else None}).encode()
+    """The list as its pages' bytes."""
+    own = sorted(rows(size).items())
+    pages = [dict(own[at:at + PAGE]) for at in range(0, len(own), PAGE)] or [{}]
+    return [json.dumps({"rows": page, "next": n + 1 if n + 1 < len(pages) else None}).encode()
             for n, page in enumerate(pages)]
 
 
-def said_document(size, sequence=1):
-    """A configuration in the platform's words: a route for each tenant, a service for each model."""
-    depots = [{"name": model(at), "engine": {"cache_tokens": 410894, "consignment_s": 5.0, "berths": 64,
-                                             "models": [{"name": model(at), "edition": 1, "adapters": []}]}}
-              for at in range(size.models)]
-    routes = [{"name": f"route-of-tenant-{at:03d}", "host": f"tenant-{at:03d}.fleet.example", "prefix": "/v1/answers/",
-               "kind": "stream", "depot": model(at % size.models), "deadline_ms": 8000, "target_ms": 1300,
-               "headway_ms": 300, "tries": 2, "urgency": 5, "resumable": True} for at in range(size.tenants)]
-    return {"edition": sequence, "itineraries": routes, "depots": depots,
-            "caps": {"head_bytes": 16384, "parcel_bytes": 4194304, "head_ms": 4000, "quiet_ms": 20000}}
-
-
 def document(size, sequence=1):
-    """The same as the product keeps it: in its own form, with what was sent beside it."""
-    return configuration.full(operator_front.document_of(said_document(size, sequence)))
+    """A configuration: a route for each tenant, a pool for each model; with its text beside it, as sent."""
+    pools = {model(at): {"selector": {"service": model(at)},
+                         "engine": {"memory_tokens": 410894, "handle_life_s": 5.0, "slots": 64}} for at in range(size.models)}
+    routes = [{"name": f"route-of-tenant-{at:03d}", "host": f"tenant-{at:03d}.fleet.example", "prefix": "/v1/answers/",
+               "kind": "stream", "pools": [{"pool": model(at % size.models), "share": 1}], "cutoff_s": 8.0, "aim_s": 1.3,
+               "pause_s": 0.3, "tries": 2, "urgency": 5, "resumable": True} for at in range(size.tenants)]
+    said = {"sequence": sequence, "routes": routes, "pools": pools}
+    return configuration.full({"model": model(0), "kinds": {"any": {"cutoff_s": 8}}, "tenants": {"any": {"share": 1}},
+                               "pools": pools, "pairings": [{"pool": model(0), "policy": "least_usage"}],
+                               "routes": routes, "limits": {"head_bytes": 16384, "body_bytes": 4194304}, "as_sent": said})
 
 
 def packed(body):
--- a/tools/hollow/fleet.py
+++ b/tools/hollow/fleet.py
@@ -1,6 +1,6 @@
 """A hollow fleet: whole routers and keepers of the product, hundreds in one process.
 
-Each is put together as the programs do it, with the platform's own way of speaking:
+Each is put together as the programs do it, with a way of speaking of its own:
 gossip, lease, list, placing, usage, members, duties. Hollow are the sockets, threads
 and requests: what a router has running is drawn anew on every beat and set where the
 product keeps it. Replicas are rows of the list only; no order reaches one.
@@ -8,11 +8,12 @@
 
 import json
 
-import replica_speech
+import mothshed.common.constants as constants
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.data_plane.router as router_module
 import tools.hollow.books as books_module
 import tools.hollow.design as design
+import tools.hollow.speech as speech
 import tools.simulator.desk as desk_module
 import tools.simulator.loop as loop_module
 
@@ -26,10 +27,9 @@
         self.loop = books_module.HollowLoop(seed, self.books)
         self.net = books_module.HollowNetwork(self.loop, self.books)
         self.pages, self.parse = design.list_pages(size), json.loads
-        self.names = [json.loads(p)["replicas"] for p in self.pages]
-        rows = [r for page in self.names for r in page]
-        self.readers = [r["replica_id"] for r in rows if r["leg"] == "prefill"] or [rows[0]["replica_id"]]
-        self.writers = [r["replica_id"] for r in rows if r["leg"] == "decode"]
+        rows = design.rows(size)
+        self.writers = [n for n, row in rows.items() if row["role"] == "decode"]
+        self.readers = [n for n, row in rows.items() if row["role"] == "prefill"] or self.writers[:1]
         self.chance = design.seeded(seed, "running")
         self.parts, self.addresses, self.disks, self.applied = {}, {}, {}, 0
         self.drawing = False
@@ -57,14 +57,14 @@
         self.disks[name] = desk_module.SimDisk(self.loop, machine)
         keeper = keeper_module.Keeper(self.desk(machine, address, next(label)), settings,
                                       lambda: self.desk(machine, address, next(label)), self.disks[name],
-                                      lambda n: f"{self.loop.random.getrandbits(8 * n):x}", replica_speech.Speech())
+                                      lambda n: f"{self.loop.random.getrandbits(8 * n):x}", speech.Speech())
         keeper.run()
         self.parts[name] = keeper
 
     def add_router(self, name, at):
         machine = loop_module.Machine(self.loop, name)
         address = f"10.2.{at // 200}.{at % 200 + 1}:70"
-        router = router_module.Router(self.desk(machine, address), self.settings(name, at, address), replica_speech.Speech())
+        router = router_module.Router(self.desk(machine, address), self.settings(name, at, address), speech.Speech())
         router.run()
         self.parts[name] = router
 
@@ -76,10 +76,10 @@
         """Sets what this router has running, as many requests as the size says."""
         router.replicas.mine = design.running(self.size, self.chance, self.readers, self.writers)
         for name in list(router.placing.reading):
-            router.placing.reading[name] = 0
+            router.placing.reading[name] = [0] * constants.RANKS
         for name in self.readers:
             if name in router.replicas.mine:
-                router.placing.reading[name] = 4000 * router.replicas.mine[name]
+                router.placing.reading[name] = [4000 * router.replicas.mine[name], *[0] * (constants.RANKS - 1)]
         self.loop.at(DRAW_BEAT, None, lambda: self.draw(router))
 
     def routers(self):
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -68,10 +68,10 @@
     member = LoneMember()
     duty = usage_duty.UsageDuty(member)
     chance = design.seeded("usage", routers)
-    names = [r["replica_id"] for page in design.list_pages(size) for r in json.loads(page)["replicas"] if r["leg"] == "decode"]
+    names = [n for n, row in design.rows(size).items() if row["role"] == "decode"]
     names = names[::constants.PARTS - 1]            # one part's share of the replicas
     few = design.Size(requests=size.requests / (constants.PARTS - 1))
-    bodies = {f"10.2.0.{at}:70": {"rows": {n: [count, 0, 0.0, 0] for n, count in design.running(few, chance, names, names).items()},
+    bodies = {f"10.2.0.{at}:70": {"rows": {n: [count, 0.0, *[0] * constants.RANKS] for n, count in design.running(few, chance, names, names).items()},
                                   "mark": 1} for at in range(routers)}
     for sender, body in bodies.items():
         duty.reports[sender] = (1000.0, body["rows"])
@@ -140,7 +140,7 @@
 
 
 class HollowSpeech:
-    """Answers every send at once; its formats are the platform's, and not counted here."""
+    """Answers every send at once; the formats of a platform are not counted here."""
 
     def __init__(self, events, inner):
         self.events, self.inner = events, inner
@@ -164,9 +164,8 @@
     router = fleet.routers()[0]
     router.speech = HollowSpeech(events, router.speech)
     app = route_front.RouteFront(router)
-    environ = {"REQUEST_METHOD": "POST", "REQUEST_URI": "/v1/answers/", "HTTP_HOST": "tenant-007.fleet.example",
-               "HTTP_TRY_ID": "t-1", "HTTP_TIME_LEFT": "8000", "HTTP_TOKENS": "4000",
-               "HTTP_PROMPT_PREFIX": "5c1e:800,91bd:3200"}
+    environ = {"REQUEST_METHOD": "POST", "REQUEST_URI": "/v1/answers/", "mothshed.headers": {
+        "Host": "tenant-007.fleet.example", "X-Id": "t-1"}}
     count = [0, 0]
 
     def one():
--- a/tools/hollow/real.py
+++ b/tools/hollow/real.py
@@ -27,16 +27,16 @@
 def idle_router(replicas, tenants):
     """Resident KiB of one router process, step by step, nothing served yet."""
     bare = condition_of()
-    import tools.hollow.design as design        # after the bare figure; brings the platform's modules
+    import tools.hollow.design as design        # after the bare figure
     import mothshed.common.constants as constants
     import mothshed.data_plane.router as router_module
     import mothshed.programs.process        # what the program itself imports beside
-    import replica_speech
+    import tools.hollow.speech as speech_module
     loaded = condition_of()
     address, http = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
     own = peers.Peers(address)
     desk = world.Desk(world.Beats(), own, address)
-    speech = replica_speech.Speech()
+    speech = speech_module.Speech()
     router = router_module.Router(desk, {"name": "r", "cell": "a", "seeds": [], "list_url": "http://127.0.0.1:1", "http": http}, speech)
     built = condition_of()
     server = router.front()
@@ -47,7 +47,7 @@
     time.sleep(0.5)
     served = condition_of()
     size = design.Size(replicas=replicas, tenants=tenants)
-    rows = {r["replica_id"]: speech.row(r) for page in design.list_pages(size) for r in json.loads(page)["replicas"]}
+    rows = design.rows(size)
     router.replicas.take_list(rows)
     listed = condition_of()
     text = json.dumps(design.document(size))
--- /dev/null
+++ b/tools/hollow/speech.py
@@ -0,0 +1,31 @@
+"""How a hollow fleet speaks: the list and requests in our own words, over memory.
+
+It stands where an adapter to a platform stands; what that one's formats cost beside
+is not counted here.
+"""
+
+import mothshed.common.web as web
+
+
+class Speech:
+    gives_roles, says_standing = True, False
+
+    def rows(self, desk, url):
+        """The list, all its pages: name -> row."""
+        found, page = {}, 0
+        while page is not None:
+            status, said = desk.web.poll("GET", f"{url}/list/p-{page}")
+            if status != 200:
+                raise web.WebFault(f"list status {status}", True)
+            found.update(said["rows"])
+            page = said["next"]
+        return found
+
+    def read(self, headers):
+        return {"id": headers["X-Id"], "left": 8.0, "tokens": 4000, "parts": [("5c1e", 800), ("91bd", 3200)], "after": None}
+
+    def free(self, desk, handle):
+        return True
+
+    def order_role(self, desk, url, role, standing, holder, sequence):
+        return False
