--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,10 +1,15 @@
 """The log on a real disk: torn tails are cut off, damage elsewhere is not passed over."""
 
+import types
+
 import pytest
 
 import mothshed.common.constants as constants
 import mothshed.common.disk as disk
 import mothshed.common.disk_log as disk_log
+import mothshed.control_plane.keeper as keeper
+import mothshed.control_plane.member as member
+import tests.all_orders as all_orders
 
 
 def entry(index, term=1, text="x"):
@@ -81,3 +86,33 @@
     blocked.write_text("not a folder")
     with pytest.raises(disk.DiskFault):
         disk.Disk(blocked)
+
+
+def test_a_keeper_whose_disk_failed_starts_anew_once_when_it_takes_writes_again():
+    full, log = [True] * 3, []
+
+    def put(name, data):
+        if full and full.pop():
+            raise disk.DiskFault("no space")
+    desk = types.SimpleNamespace(pause=lambda span: log.append("pause"), spawn=lambda call: log.append(call))
+    stub = types.SimpleNamespace(waiting=False, desk=desk, disk=types.SimpleNamespace(put=put),
+                                 ended=lambda: log.append("ended"))
+    stub.wait_for_disk = lambda: keeper.Keeper.wait_for_disk(stub)
+    keeper.Keeper.disk_failed(stub)
+    keeper.Keeper.disk_failed(stub)         # a second member on the same disk
+    assert len(log) == 1
+    log.pop()()
+    assert log == ["pause"] * 4 + ["ended"]
+
+
+def test_a_member_that_cannot_write_stops_and_says_so_once():
+    told, pool = [], all_orders.Pool()
+    seat = member.Member(all_orders.HandDesk(pool, "a:1"), all_orders.disk(), 0, "A/1", "", ["a:1"],
+                         types.SimpleNamespace(apply=None))
+    seat.failed = lambda: told.append(seat.chart.state)
+
+    def fail(*rest):
+        raise disk.DiskFault("no space")
+    for _ in range(2):
+        seat.guard(fail)()
+    assert told == ["stopped"]
