--- a/mothshed/data_plane/budget.py
+++ b/mothshed/data_plane/budget.py
@@ -3,8 +3,9 @@
 A request's first prefill and first decode are its own; every other send written
 to a replica is extra. Each router earns a share of a send with each request it
 begins and spends, within one window, no more than it earned: the shares of all
-routers then add up to the fleet's, however many there are, whoever starts or dies,
-and no slack is added anywhere. What one router does not need another may borrow:
+routers then add up to the fleet's, however many there are, whoever starts or dies.
+Where operators allow the fleet a slack beside the share, each router takes a part of
+it by its count of routers, once it is old enough to have one. What one router does not need another may borrow:
 the lender counts it as spent the moment it gives it away, so nothing has to be
 agreed and a lost answer only loses the loan.
 """
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -1,8 +1,8 @@
 """Delivers a request of a route as it came: prefill, decode, free, events.
 
 Written straight down, as Carry is for our own interface. Whether a prefill is a run
-is a fact about the replicas' protocol: here the adapter says that it is none, so it
-may be repeated; a decode is one. A request that is not repeatable goes to a second
+is a fact about the replicas' protocol: on routes it is none, so it may be repeated; a
+decode is one. A request that is not repeatable goes to a second
 writer only on a proven not_run; a resumable stream that breaks is taken up at
 another replica after the last event delivered, under the head of the first. What
 is left of the hand-over on any way out is freed. A replica's own failure is passed
