--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -43,7 +43,7 @@
     own, answer = site.ask(host)
     handle = writer.asked[0].get("Cache-From").partition("/")[2]
     platform_site.until(lambda: reader.freed == [handle], 1.0)
-    assert held(reader) == {} and time.monotonic() - began > 0.9    # the stream went on all the while
+    assert held(reader) == {} and time.monotonic() - began > 0.9  # the stream went on all the while
     said = answer.body + str(answer.headers).encode()
     assert handle.encode() not in said and b"consignment" not in said and reader.address.encode() not in said
 
@@ -56,10 +56,17 @@
     assert len(set(sources)) == 5 and all(site.platform.ran(r.get("Try-Id")) for r in writer.asked)
 
 
-@pytest.mark.parametrize("method, target, body", [
-    ("POST", "/p/a%2Fb%20c%25?x=%41&y=a+b%26&y=", b"\x00\xff{}\r\n\r\nGET / HTTP/1.1\r\n\r\n"), ("GET", "/p/?", None),
-    ("PUT", "/p//b/./../c;d=1?q=/p/?#", b"x" * 70000), ("DELETE", "/p/%7Euser/~user/%e4%f6", None), ("PATCH", "/p/x?a=b%0d%0ac", b""),
-    ("OPTIONS", "/p/x", b"o")])
+@pytest.mark.parametrize(
+    "method, target, body",
+    [
+        ("POST", "/p/a%2Fb%20c%25?x=%41&y=a+b%26&y=", b"\x00\xff{}\r\n\r\nGET / HTTP/1.1\r\n\r\n"),
+        ("GET", "/p/?", None),
+        ("PUT", "/p//b/./../c;d=1?q=/p/?#", b"x" * 70000),
+        ("DELETE", "/p/%7Euser/~user/%e4%f6", None),
+        ("PATCH", "/p/x?a=b%0d%0ac", b""),
+        ("OPTIONS", "/p/x", b"o"),
+    ],
+)
 def test_method_path_query_and_body_reach_the_replica_as_they_came(site, method, target, body):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     own, answer = site.ask(host, target, body, method, prompt=False)
@@ -77,9 +84,19 @@
 
 def test_headers_are_passed_on_but_those_of_one_connection(site):
     host, (reader, writer) = site.service("pd")
-    rows = [("X-Own", "a, b;c=\"d\""), ("Cookie", "k=v; l=w"), ("Accept", "*/*"), ("User-Agent", "own/1"), ("Accept-Encoding", "identity"),
-            ("Connection", "close, X-Private"), ("X-Private", "1"), ("Keep-Alive", "timeout=3"), ("TE", "trailers"),
-            ("Content-Type", "text/own; charset=x"), ("Authorization", "Bearer z")]
+    rows = [
+        ("X-Own", 'a, b;c="d"'),
+        ("Cookie", "k=v; l=w"),
+        ("Accept", "*/*"),
+        ("User-Agent", "own/1"),
+        ("Accept-Encoding", "identity"),
+        ("Connection", "close, X-Private"),
+        ("X-Private", "1"),
+        ("Keep-Alive", "timeout=3"),
+        ("TE", "trailers"),
+        ("Content-Type", "text/own; charset=x"),
+        ("Authorization", "Bearer z"),
+    ]
     own, answer = site.ask(host, headers=rows)
     assert answer.status == 200
     for seen in (reader.asked[0], writer.asked[0]):
@@ -130,8 +147,10 @@
     assert answer.status == status and [len(r.body) for r in replica.asked] == ([size] if status == 200 else [])
 
 
-@pytest.mark.parametrize("events, kind, more", [(0, "once_only", []), (0, "repeatable", []), (0, "stream", []),
-                                                 (4, "stream", [("Last-Event-Id", "4")])])
+@pytest.mark.parametrize(
+    "events, kind, more",
+    [(0, "once_only", []), (0, "repeatable", []), (0, "stream", []), (4, "stream", [("Last-Event-Id", "4")])],
+)
 def test_an_empty_body_is_whole(site, events, kind, more):
     host, (replica,) = site.service("d", engine=False, kind=kind, facts={"events": events, "body": b""})
     own, answer = site.ask(host, headers=more, prompt=False)
@@ -149,7 +168,11 @@
     host, (replica,) = site.service("d", engine=False, kind="repeatable", facts={"events": 0, "body": b"short"})
     inner, (other,) = site.service("d", engine=False, kind="repeatable", facts={"events": 0, "body": b"long"})
     site.lease.change([platform_site.route("inner", host, other.depot, prefix="/p/in/")])
-    assert [site.ask(host, t, prompt=False)[1].body for t in ("/p/in/x", "/p/inner", "/p/")] == [b"long", b"short", b"short"]
+    assert [site.ask(host, t, prompt=False)[1].body for t in ("/p/in/x", "/p/inner", "/p/")] == [
+        b"long",
+        b"short",
+        b"short",
+    ]
     site.lease.change(without=[f"r-{replica.depot}"])
     assert [site.ask(host, t, prompt=False)[1].status for t in ("/p/in/x", "/p/inner")] == [200, 404]
 
@@ -175,7 +198,7 @@
     for replica in replicas:
         replica.always = {"own": status}
     own, answer = site.ask(host, prompt=False)
-    (run,) = site.platform.ran(own)                 # tries is 1
+    (run,) = site.platform.ran(own)  # tries is 1
     assert (answer.status, answer.body, answer.headers["Postmark"]) == (status, b"own failure", run["stamp"])
 
 
@@ -184,7 +207,9 @@
     host, replicas = site.service("d" * 7, engine=False, kind="repeatable", facts={"events": 0})
     for replica in replicas[:5]:
         replica.facts["condition"] = "winding_down"
-    platform_site.until(lambda: set(site.router.replicas.usable({"service": replicas[0].depot})) == {r.name for r in replicas[5:]})
+    platform_site.until(
+        lambda: set(site.router.replicas.usable({"service": replicas[0].depot})) == {r.name for r in replicas[5:]}
+    )
     before = [len(r.asked) for r in replicas[:5]]
     assert all(site.ask(host, prompt=False)[1].status == 200 for _ in range(12))
     assert [len(r.asked) for r in replicas[:5]] == before and all(r.asked for r in replicas[5:])
@@ -198,7 +223,9 @@
     assert site.ask(host, prompt=False)[1].status == 200
 
 
-@pytest.mark.parametrize("status, taken", [(202, True), (200, True), (409, False), (412, False), (400, False), (421, False)])
+@pytest.mark.parametrize(
+    "status, taken", [(202, True), (200, True), (409, False), (412, False), (400, False), (421, False)]
+)
 def test_an_order_whose_answer_has_no_body_counts_by_its_status(site, status, taken):
     host, (replica,) = site.service("p")
     replica.order_status = status
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -28,17 +28,36 @@
         def new_desk():
             made.append(platform_site.world.Desk(desk.beats, desk.peers, place))
             return made[-1]
+
         speech = platform_site.replica_speech.Speech()
         speech.list_beat = 0.1
-        settings = {"name": "k", "address": place, "http": f"127.0.0.1:{fleet.free_port('127.0.0.1')}", "cell": "a",
-                    "seeds": [place], "first_keepers": [place], "list_url": list_url, "data": str(folder)}
+        settings = {
+            "name": "k",
+            "address": place,
+            "http": f"127.0.0.1:{fleet.free_port('127.0.0.1')}",
+            "cell": "a",
+            "seeds": [place],
+            "first_keepers": [place],
+            "list_url": list_url,
+            "data": str(folder),
+        }
         self.keeper = keeper_module.Keeper(desk, settings, new_desk, disk.Disk(folder), speech=speech)
         self.keeper.run()
         self.keeper_server = self.keeper.front(platform_site.operator_front.OperatorFront)
         self.address = platform_site.serve(self.keeper_server)
         other = platform_site.desk()
-        self.router = router_module.Router(other, {"name": "r", "address": other.address, "http": "127.0.0.1:0", "cell": "a",
-                                                   "seeds": [place], "list_url": list_url}, speech)
+        self.router = router_module.Router(
+            other,
+            {
+                "name": "r",
+                "address": other.address,
+                "http": "127.0.0.1:0",
+                "cell": "a",
+                "seeds": [place],
+                "list_url": list_url,
+            },
+            speech,
+        )
         self.router.run()
         self.router_server = self.router.front()
         self.counter = platform_site.serve(self.router_server)
@@ -60,21 +79,33 @@
 
     def put(self, body, base):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        for turn in range(3):                   # without a clear answer it is sent again unchanged, as operators do
-            answer = platform_site.ask(self.address, "PUT", "/configuration", data,
-                                       [("Host", "k"), ("If-Match", str(base)), ("Content-Type", "application/json")])
+        for turn in range(3):  # without a clear answer it is sent again unchanged, as operators do
+            answer = platform_site.ask(
+                self.address,
+                "PUT",
+                "/configuration",
+                data,
+                [("Host", "k"), ("If-Match", str(base)), ("Content-Type", "application/json")],
+            )
             if answer.status not in (503, 504):
                 break
         return answer
 
     def call(self, host, target="/p/x"):
-        return platform_site.ask(self.counter, "POST", target, b"b", [("Host", host), ("Try-Id", f"t{next(stand_in.COUNT)}")])
+        return platform_site.ask(
+            self.counter, "POST", target, b"b", [("Host", host), ("Try-Id", f"t{next(stand_in.COUNT)}")]
+        )
 
 
 def document(edition, *routes, **more):
     rows = routes or [platform_site.route("r-one", "one.example", "one", kind="once_only")]
-    return {"edition": edition, "itineraries": list(rows), "depots": [platform_site.depot("one")],
-            "caps": {"head_bytes": 16384, "parcel_bytes": 4194304, "head_ms": 3000, "quiet_ms": 15000}, **more}
+    return {
+        "edition": edition,
+        "itineraries": list(rows),
+        "depots": [platform_site.depot("one")],
+        "caps": {"head_bytes": 16384, "parcel_bytes": 4194304, "head_ms": 3000, "quiet_ms": 15000},
+        **more,
+    }
 
 
 @pytest.fixture(scope="module")
@@ -93,9 +124,17 @@
 
 
 def test_what_is_read_back_is_exactly_what_was_sent(door, base):
-    sent = document(base + 4, platform_site.route("r-one", "One.Example", "one", odd={"deep": [1, None, "\u00e4"]}, target_ms=800.5),
-                    platform_site.route("r-two", "two.example", None, dispatch=[{"depot": "one", "share": 90, "x": 1},
-                                                                              {"depot": "one", "share": 10}]), note=[True])
+    sent = document(
+        base + 4,
+        platform_site.route("r-one", "One.Example", "one", odd={"deep": [1, None, "\u00e4"]}, target_ms=800.5),
+        platform_site.route(
+            "r-two",
+            "two.example",
+            None,
+            dispatch=[{"depot": "one", "share": 90, "x": 1}, {"depot": "one", "share": 10}],
+        ),
+        note=[True],
+    )
     del sent["itineraries"][1]["depot"]
     assert door.put(sent, base).status == 200
     assert door.get() == (200, sent)
@@ -143,23 +182,35 @@
 
 INVALID = {
     "unknown depot": document(0, route_with(depot="nobody")),
-    "one of two depots unknown": document(0, route_with(dispatch=[{"depot": "one", "share": 1}, {"depot": "nobody", "share": 1}])),
-    "an unknown depot without weight": document(0, route_with(dispatch=[{"depot": "one", "share": 1}, {"depot": "nobody", "share": 0}])),
-    "weights add up to 0": document(0, route_with(dispatch=[{"depot": "one", "share": 0}, {"depot": "one", "share": 0}])),
+    "one of two depots unknown": document(
+        0, route_with(dispatch=[{"depot": "one", "share": 1}, {"depot": "nobody", "share": 1}])
+    ),
+    "an unknown depot without weight": document(
+        0, route_with(dispatch=[{"depot": "one", "share": 1}, {"depot": "nobody", "share": 0}])
+    ),
+    "weights add up to 0": document(
+        0, route_with(dispatch=[{"depot": "one", "share": 0}, {"depot": "one", "share": 0}])
+    ),
     "a weight below 0": document(0, route_with(dispatch=[{"depot": "one", "share": -1}, {"depot": "one", "share": 2}])),
     "deadline 0": document(0, route_with(deadline_ms=0)),
     "deadline below 0": document(0, route_with(deadline_ms=-5)),
     "deadline as text": document(0, route_with(deadline_ms="8000")),
     "two routes in one place": document(0, *two(host="one.example")),
     "two routes in one place, in other letters": document(0, *two(host="ONE.example")),
-    "the last of many is wrong": document(0, *[platform_site.route(f"r{n}", f"h{n}", "one") for n in range(60)], route_with(deadline_ms=0)),
+    "the last of many is wrong": document(
+        0, *[platform_site.route(f"r{n}", f"h{n}", "one") for n in range(60)], route_with(deadline_ms=0)
+    ),
     "two depots of one name": document(0, depots=[platform_site.depot("one")] * 2),
     "depots are no list": document(0, depots={"one": 1}),
     "routes are no list": {**document(0), "itineraries": "r-one"},
     "a route is no object": {**document(0), "itineraries": [7]},
-    "no routes at all": without("itineraries", None), "no depots": without("depots", None), "no edition": without("edition", None),
-    "a route without its place": without("host", "itineraries"), "without a prefix": without("prefix", "itineraries"),
-    "without a deadline": without("deadline_ms", "itineraries"), "without a depot": without("depot", "itineraries"),
+    "no routes at all": without("itineraries", None),
+    "no depots": without("depots", None),
+    "no edition": without("edition", None),
+    "a route without its place": without("host", "itineraries"),
+    "without a prefix": without("prefix", "itineraries"),
+    "without a deadline": without("deadline_ms", "itineraries"),
+    "without a depot": without("depot", "itineraries"),
 }
 
 
@@ -174,17 +225,35 @@
 
 VALID = {
     "no routes": {**document(0), "itineraries": []},
-    "no caps": without("caps", None), "caps without fields": document(0, caps={}),
-    "one of several weights is 0": document(0, route_with(dispatch=[{"depot": "one", "share": 0}, {"depot": "one", "share": 1}])),
+    "no caps": without("caps", None),
+    "caps without fields": document(0, caps={}),
+    "one of several weights is 0": document(
+        0, route_with(dispatch=[{"depot": "one", "share": 0}, {"depot": "one", "share": 1}])
+    ),
     "no aim and no pause": document(0, {k: v for k, v in route_with().items() if k not in ("target_ms", "headway_ms")}),
-    "the shortest and the longest": document(0, *two(deadline_ms=1), route_with(host="three", name="r3", deadline_ms=600000, tries=9)),
-    "one prefix on two hosts, one within another": document(0, *two(), *two(prefix="/p/q/")[1:], route_with(prefix="/", name="all")),
-    "depots without engines, one unused": document(0, depots=[platform_site.depot("one", False), platform_site.depot("spare", False)]),
-    "an engine without models": document(0, depots=[{**platform_site.depot("one"), "engine": {**platform_site.ENGINE, "models": []}}]),
-    "all urgencies and kinds": document(0, *[route_with(host=f"h{n}", name=f"r{n}", urgency=n, kind=k, resumable=k == "stream")
-                                             for n, k in enumerate(["stream", "once_only", "repeatable"] * 3 + ["stream"])]),
+    "the shortest and the longest": document(
+        0, *two(deadline_ms=1), route_with(host="three", name="r3", deadline_ms=600000, tries=9)
+    ),
+    "one prefix on two hosts, one within another": document(
+        0, *two(), *two(prefix="/p/q/")[1:], route_with(prefix="/", name="all")
+    ),
+    "depots without engines, one unused": document(
+        0, depots=[platform_site.depot("one", False), platform_site.depot("spare", False)]
+    ),
+    "an engine without models": document(
+        0, depots=[{**platform_site.depot("one"), "engine": {**platform_site.ENGINE, "models": []}}]
+    ),
+    "all urgencies and kinds": document(
+        0,
+        *[
+            route_with(host=f"h{n}", name=f"r{n}", urgency=n, kind=k, resumable=k == "stream")
+            for n, k in enumerate(["stream", "once_only", "repeatable"] * 3 + ["stream"])
+        ],
+    ),
     "three hundred routes": document(0, *[route_with(host=f"h{n}", name=f"r{n}") for n in range(300)]),
-    "fields from the future": document(0, route_with(new=1), depots=[{**platform_site.depot("one"), "new": {}}], new=[]),
+    "fields from the future": document(
+        0, route_with(new=1), depots=[{**platform_site.depot("one"), "new": {}}], new=[]
+    ),
 }
 
 
@@ -194,8 +263,20 @@
     assert door.put(sent, base).status == 200 and door.get() == (200, sent)
 
 
-@pytest.mark.parametrize("edition", [lambda b: b, lambda b: b - 1, lambda b: 0, lambda b: -1, lambda b: True, lambda b: None,
-                                     lambda b: str(b + 1), lambda b: b + 0.5, lambda b: [b + 1]])
+@pytest.mark.parametrize(
+    "edition",
+    [
+        lambda b: b,
+        lambda b: b - 1,
+        lambda b: 0,
+        lambda b: -1,
+        lambda b: True,
+        lambda b: None,
+        lambda b: str(b + 1),
+        lambda b: b + 0.5,
+        lambda b: [b + 1],
+    ],
+)
 def test_an_edition_that_does_not_rise_is_turned_away(door, base, edition):
     before = door.get()
     assert 400 <= door.put(document(edition(base), note="other"), base).status < 500 and door.get() == before
@@ -209,7 +290,9 @@
     assert 400 <= door.put(data[:end], base).status < 500 and door.get() == before
 
 
-@pytest.mark.parametrize("data", [b"[]", b"7", b"null", b"\xff\xfe", b"[" * 100000, b"{}", b'{"edition": NaN}'], ids=repr)
+@pytest.mark.parametrize(
+    "data", [b"[]", b"7", b"null", b"\xff\xfe", b"[" * 100000, b"{}", b'{"edition": NaN}'], ids=repr
+)
 def test_what_is_no_configuration_is_turned_away(door, base, data):
     assert 400 <= door.put(data[:100001], base).status < 500 and door.latest() == base
 
@@ -219,7 +302,12 @@
     rows = [("Host", "k")]
     assert platform_site.ask(door.address, "POST", "/configuration", b"{}", rows).status == 405
     assert platform_site.ask(door.address, "PUT", "/other", b"{}", rows).status == 404
-    assert platform_site.ask(door.address, "PUT", "/configuration", None, rows + [("Content-Length", constants.BODY_MOST + 1)]).status == 413
+    assert (
+        platform_site.ask(
+            door.address, "PUT", "/configuration", None, rows + [("Content-Length", constants.BODY_MOST + 1)]
+        ).status
+        == 413
+    )
     assert door.latest() == base
 
 
--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -40,9 +40,16 @@
     "two lengths in one": lambda n: [b"Content-Length: 5, %d" % (5 + n)],
     "a coding that nobody knows": lambda n: [b"Transfer-Encoding: xchunked", b"Content-Length: 5"],
     "a coding with a tab": lambda n: [b"Transfer-Encoding:\tchunked", b"Content-Length: %d" % (5 + n)],
-    "a coding with a space before the colon": lambda n: [b"Transfer-Encoding : chunked", b"Content-Length: %d" % (5 + n)],
+    "a coding with a space before the colon": lambda n: [
+        b"Transfer-Encoding : chunked",
+        b"Content-Length: %d" % (5 + n),
+    ],
     "a coding in other letters": lambda n: [b"transfer-ENCODING: CHUNKED", b"Content-Length: %d" % (5 + n)],
-    "two codings": lambda n: [b"Transfer-Encoding: chunked", b"Transfer-Encoding: identity", b"Content-Length: %d" % (5 + n)],
+    "two codings": lambda n: [
+        b"Transfer-Encoding: chunked",
+        b"Transfer-Encoding: identity",
+        b"Content-Length: %d" % (5 + n),
+    ],
     "a length with a sign": lambda n: [b"Content-Length: +5"],
     "a length below 0": lambda n: [b"Content-Length: -5"],
     "a length in other digits": lambda n: ["Content-Length: \u0665".encode()],
@@ -54,20 +61,32 @@
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     mark = str(list(FRAMINGS).index(name))
     inner = INNER % (host.encode(), mark.encode())
-    rows = [b"POST /p/out HTTP/1.1", b"Host: " + host.encode(), b"Try-Id: outer-" + mark.encode(), *FRAMINGS[name](len(inner))]
+    rows = [
+        b"POST /p/out HTTP/1.1",
+        b"Host: " + host.encode(),
+        b"Try-Id: outer-" + mark.encode(),
+        *FRAMINGS[name](len(inner)),
+    ]
     said = say(site, b"\r\n".join(rows) + b"\r\n\r\n" + b"0\r\n\r\n" + inner)
     assert site.platform.ran("smuggled-" + mark) == []
     assert len(replica.asked) <= 1 and said.count(b"Postmark") == len(site.platform.ran("outer-" + mark))
 
 
-@pytest.mark.parametrize("data", [
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Length: 9\r\n\r\nabc",
-    b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Le",
-    b"POST /p/x y HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\n\r\n", b"\x16\x03\x01%b\r\n\r\n", b"GET %b\r\n\r\n"], ids=repr)
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Length: 9\r\n\r\nabc",
+        b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\nContent-Le",
+        b"POST /p/x y HTTP/1.1\r\nHost: %b\r\nTry-Id: odd\r\n\r\n",
+        b"\x16\x03\x01%b\r\n\r\n",
+        b"GET %b\r\n\r\n",
+    ],
+    ids=repr,
+)
 def test_a_request_that_is_not_whole_is_sent_nowhere(site, data):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     address, port = site.address.rsplit(":", 1)
@@ -85,14 +104,19 @@
 def test_a_body_that_stalls_until_its_time_is_over_is_sent_nowhere(site, monkeypatch):
     monkeypatch.setattr(constants, "READ_TIME", 0.3)
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
-    said = say(site, b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: slow\r\nContent-Length: 9\r\n\r\nabc" % host.encode(), 1.5)
+    said = say(
+        site, b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: slow\r\nContent-Length: 9\r\n\r\nabc" % host.encode(), 1.5
+    )
     platform_site.until(lambda: site.router.flight == 0)
     assert [r.body for r in replica.asked] == [] and b" 200 " not in said[:20]
 
 
 def test_requests_that_follow_one_another_on_a_connection_are_answered_in_order(site):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
-    rows = [b"POST /p/%d HTTP/1.1\r\nHost: %b\r\nTry-Id: row-%d\r\nContent-Length: 3\r\n\r\nab%d" % (n, host.encode(), n, n) for n in range(4)]
+    rows = [
+        b"POST /p/%d HTTP/1.1\r\nHost: %b\r\nTry-Id: row-%d\r\nContent-Length: 3\r\n\r\nab%d" % (n, host.encode(), n, n)
+        for n in range(4)
+    ]
     said = say(site, b"".join(rows))
     assert [said.count(b"Try-Id: row-%d" % n) for n in range(4)] == [1] * 4
     assert [said.index(b"row-%d" % n) for n in range(4)] == sorted(said.index(b"row-%d" % n) for n in range(4))
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -23,7 +23,7 @@
     own, answer = site.ask(host)
     assert len(site.platform.ran(own)) == 1 and platform_site.asked(writers) == 1
     assert answer.status == 200 and not answer.complete
-    assert answer.body == platform_site.pieces(1, count, 6)     # whole events only
+    assert answer.body == platform_site.pieces(1, count, 6)  # whole events only
 
 
 @pytest.mark.parametrize("legs", ["pdd", "dd", "ppddd"])
@@ -60,7 +60,11 @@
     host, replicas = site.service("pdd", tries=2, resumable=True)
     platform_site.let(replicas[1:], {"break": 0})
     own, answer = site.ask(host)
-    assert [run["after"] for run in site.platform.ran(own)] == [0, 0] and answer.body == platform_site.pieces(1) and answer.complete
+    assert (
+        [run["after"] for run in site.platform.ran(own)] == [0, 0]
+        and answer.body == platform_site.pieces(1)
+        and answer.complete
+    )
     assert answer.headers["Postmark"] == site.platform.ran(own)[1]["stamp"]
 
 
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -19,7 +19,9 @@
     page = (ROOT / "docs" / "proof.md").read_text().splitlines()
     assert [line for line in proof_table.head() + proof_table.protected() if line not in page] == []
     for day in days.DAYS:
-        cells = [line.strip("| ").split(" | ") for line in page if line.split(" | ")[1:2] == [day] and line.count(" | ") > 5]
+        cells = [
+            line.strip("| ").split(" | ") for line in page if line.split(" | ")[1:2] == [day] and line.count(" | ") > 5
+        ]
         assert len(cells) == 1, day
         zero = [rule for rule, n in zip(proof_table.NEVER.values(), cells[0][2:]) if int(n) == 0]
         assert zero == [] or zero == ["service returns"] and day in proof_table.NO_END
@@ -30,7 +32,11 @@
     found = []
     for path in sorted((ROOT / "mothshed").rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
-            if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and (node.value.id, node.attr) in WALL:
+            if (
+                isinstance(node, ast.Attribute)
+                and isinstance(node.value, ast.Name)
+                and (node.value.id, node.attr) in WALL
+            ):
                 found.append(path.name)
     assert sorted(set(found)) == ["router_front.py"] and len(found) == 2
     assert abs(world.now() - time.clock_gettime(time.CLOCK_BOOTTIME)) < 60
@@ -38,7 +44,7 @@
 
 def test_clocks_a_day_is_the_same_whatever_the_wall_clock_does():
     plain = simulate.one("kill_owner", 3)[1]
-    jumps = iter(range(10 ** 9))
+    jumps = iter(range(10**9))
     with unittest.mock.patch("time.time", lambda: (-1) ** next(jumps) * 1e6):
         jumped = simulate.one("kill_owner", 3)[1]
     assert (plain.rows, plain.ledger) == (jumped.rows, jumped.ledger)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -39,13 +39,13 @@
     behind = f.parts[name].members[0].log.last
     write_many(f, 20, 0.3)
     owner = f.parts[f.owner()].members[0].log
-    assert owner.base > behind                      # the entries it missed are kept no more
+    assert owner.base > behind  # the entries it missed are kept no more
     f.start(name)
     f.run(3)
     late = f.parts[name].members[0]
     latest = f.parts[f.owner()].members[0].machine.latest
     assert late.log.snap["index"] > behind and late.machine.latest == latest == len(f.writes) > 8
-    for other in f.names("keep"):                   # and what it was handed lasts
+    for other in f.names("keep"):  # and what it was handed lasts
         f.kill(other)
     for other in f.names("keep"):
         f.start(other)
@@ -71,6 +71,6 @@
     freed = [r for r in f.ledger if r["kind"] == "free"]
     exports = {(r["send"], r["engine"]): r["at"] for r in f.ledger if r["kind"] == "export"}
     late = [r for r in freed if r["at"] - exports[(r["send"], r["engine"])] > 2.0]
-    assert late and len(late) < 10                  # the lost router's, nobody else's
+    assert late and len(late) < 10  # the lost router's, nobody else's
     guards = sum(f.parts[n].totals.counts["guard_freed"] for n in f.names("route"))
     assert guards >= len(late) > 0
--- a/tests/test_runbooks.py
+++ b/tests/test_runbooks.py
@@ -19,13 +19,20 @@
 """
 
 
-@pytest.mark.parametrize("old, new, place", [
-    ("purpose: test", "purpose: [", "line"), ("purpose: test", "purpse: test", "purpse"),
-    ("check: keepers_agree", "check: keepers_argue", "before.0"), ("check: keepers_agree", "do: count_bounces", "before.0"),
-    ("check: keeper_is_member", "do: fly", "steps.0"), ('"{name}"', '"{nome}"', "steps.0"),
-    ("with: {name", "with: {title", "steps.0"), ("steps: [", "steps: [] # [", "steps"),
-    ("check: keeper_is_member, with", "check: keeper_is_member, ask: x, with", "steps.0"),
-])
+@pytest.mark.parametrize(
+    "old, new, place",
+    [
+        ("purpose: test", "purpose: [", "line"),
+        ("purpose: test", "purpse: test", "purpse"),
+        ("check: keepers_agree", "check: keepers_argue", "before.0"),
+        ("check: keepers_agree", "do: count_bounces", "before.0"),
+        ("check: keeper_is_member", "do: fly", "steps.0"),
+        ('"{name}"', '"{nome}"', "steps.0"),
+        ("with: {name", "with: {title", "steps.0"),
+        ("steps: [", "steps: [] # [", "steps"),
+        ("check: keeper_is_member, with", "check: keeper_is_member, ask: x, with", "steps.0"),
+    ],
+)
 def test_a_bad_runbook_is_one_error_with_its_place(tmp_path, old, new, place):
     path = tmp_path / "b.yaml"
     path.write_text(GOOD)
@@ -51,11 +58,15 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.table = [
-            (r"start mothshed-keep for (\S+)", self.new_keeper), (r"stop (keep-\d) politely", self.stop),
-            (r"wipe the data folder of (\S+)", self.wipe), (r"stop the router at (\S+)", self.stop_router),
-            (r"start the router at (\S+)", self.start_router), (r"start the replica (\S+)", lambda n: fleet.add_replica(n, 9)),
+            (r"start mothshed-keep for (\S+)", self.new_keeper),
+            (r"stop (keep-\d) politely", self.stop),
+            (r"wipe the data folder of (\S+)", self.wipe),
+            (r"stop the router at (\S+)", self.stop_router),
+            (r"start the router at (\S+)", self.start_router),
+            (r"start the replica (\S+)", lambda n: fleet.add_replica(n, 9)),
             (r"list (\S+) as leaving", lambda n: fleet.set_listed({"name": n, "state": "leaving"})),
-            (r"stop (replica-\d)", self.fleet.kill)]
+            (r"stop (replica-\d)", self.fleet.kill),
+        ]
 
     def __call__(self, text):
         for pattern, act in self.table:
@@ -110,7 +121,7 @@
         go("replace-replica", old="replica-3", new="replica-9")
         with pytest.raises(runbook.StepFailed, match="replica-3"):
             go("replace-replica", old="replica-3", new="replica-10")
-        assert "replica-10" not in fleet.procs                     # stopped before the first step
+        assert "replica-10" not in fleet.procs  # stopped before the first step
         go("drain-router", address=routers[1])
         go("recover-disk-machine", name="keep-2")
         go("swap-keeper", old=fleet.owner(), new="keep-4")
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -15,11 +15,12 @@
 
         def send():
             rows.append(callers.send(desk, router, "shift-notes", call))
+
         thread = threading.Thread(target=send)
         thread.start()
         fleet.wait_http(router, "/condition", lambda c: c["flight"] == 1)
         fleet.signal("route-1", signal.SIGTERM)
-        while True:                     # from here on it bounces, or its door is closed
+        while True:  # from here on it bounces, or its door is closed
             late = callers.send(desk, router, "shift-notes", {**call, "id": "late", "tokens": 1})
             if late["status"] != 200:
                 break
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -11,7 +11,7 @@
 ALL = sorted(p for d in ("mothshed", "tools", "tests") for p in (ROOT / d).rglob("*.py"))
 # usual terms that have a word of ours; in strings and comments they may stand
 USUAL = ("attempt", "forward", "version", "timer", "health", "answer", "zone", "refuse", "choose", "deadline", "client")
-LOAD = {"load", "loads"}        # reading a file or a text; what machines bear is "usage"
+LOAD = {"load", "loads"}  # reading a file or a text; what machines bear is "usage"
 
 
 def trees(files):
@@ -43,8 +43,12 @@
     found = []
     for name, tree in trees(FILES):
         for node in tree.body:
-            if (isinstance(node, ast.Assign) and isinstance(node.value, ast.Constant)
-                    and isinstance(node.value.value, (int, float)) and name != "constants.py"):
+            if (
+                isinstance(node, ast.Assign)
+                and isinstance(node.value, ast.Constant)
+                and isinstance(node.value.value, (int, float))
+                and name != "constants.py"
+            ):
                 found.append((name, node.targets[0].id))
     assert found == []
 
@@ -61,7 +65,12 @@
 
 
 def test_load_is_only_for_reading():
-    assert [(n, name) for n, t in trees(FILES) for name in names(t) if "load" in name.lower().split("_") and name not in LOAD] == []
+    assert [
+        (n, name)
+        for n, t in trees(FILES)
+        for name in names(t)
+        if "load" in name.lower().split("_") and name not in LOAD
+    ] == []
 
 
 def test_every_file_begins_with_a_paragraph():
@@ -70,6 +79,10 @@
 
 def test_hints_stand_at_the_seams_only():
     """Data classes and the command line carry hints; functions within do not."""
-    found = [(n, node.name) for n, t in trees(FILES) for node in ast.walk(t) if isinstance(node, ast.FunctionDef)
-             and (node.returns or any(a.annotation for a in node.args.args))]
+    found = [
+        (n, node.name)
+        for n, t in trees(FILES)
+        for node in ast.walk(t)
+        if isinstance(node, ast.FunctionDef) and (node.returns or any(a.annotation for a in node.args.args))
+    ]
     assert found == []
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -9,19 +9,25 @@
 import mothshed.common.ring as ring
 
 
-@pytest.mark.parametrize("words, said", [
-    (["tools.simulate", "--day", "no-such-day"], "no day is named 'no-such-day'"),
-    (["tools.simulate", "--day", "calm", "--seeds", "one"], "'one' is not first-last"),
-    (["tools.measure", "pairing", "--traffic", "/no/such/file"], "/no/such/file"),
-    (["mothshed.programs.operate", "fleet", "--faults", "3:kill_router,x:config,4:explode"], "x:config, 4:explode"),
-    (["mothshed.programs.operate", "fleet", "--deployment", "nowhere"], "nowhere"),
-    (["mothshed.programs.operate", "fleet", "--faults", "3:later"], "expected seconds:name of kill_router"),
-    (["tools.simulate", "--size", "huge"], "huge"), (["tools.simulate", "--jobs", "0"], "--jobs"),
-    (["tools.service_table", "--seeds", "x"], "x"), (["tools.elections", "--seeds", "x"], "x"),
-    (["tools.protections", "--days", "some"], "some"), (["tools.proof_table", "--jobs", "0"], "--jobs"),
-    (["mothshed.programs.operate", "config", "check", "/no/such/file"], "/no/such/file"),
-    (["mothshed.programs.operate", "run", "swap-keeper", "--keeper", "127.0.0.1:1", "--set", "old"], "name=value"),
-])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["tools.simulate", "--day", "no-such-day"], "no day is named 'no-such-day'"),
+        (["tools.simulate", "--day", "calm", "--seeds", "one"], "'one' is not first-last"),
+        (["tools.measure", "pairing", "--traffic", "/no/such/file"], "/no/such/file"),
+        (["mothshed.programs.operate", "fleet", "--faults", "3:kill_router,x:config,4:explode"], "x:config, 4:explode"),
+        (["mothshed.programs.operate", "fleet", "--deployment", "nowhere"], "nowhere"),
+        (["mothshed.programs.operate", "fleet", "--faults", "3:later"], "expected seconds:name of kill_router"),
+        (["tools.simulate", "--size", "huge"], "huge"),
+        (["tools.simulate", "--jobs", "0"], "--jobs"),
+        (["tools.service_table", "--seeds", "x"], "x"),
+        (["tools.elections", "--seeds", "x"], "x"),
+        (["tools.protections", "--days", "some"], "some"),
+        (["tools.proof_table", "--jobs", "0"], "--jobs"),
+        (["mothshed.programs.operate", "config", "check", "/no/such/file"], "/no/such/file"),
+        (["mothshed.programs.operate", "run", "swap-keeper", "--keeper", "127.0.0.1:1", "--set", "old"], "name=value"),
+    ],
+)
 def test_bad_words_are_named_and_nothing_is_done(words, said):
     done = subprocess.run([sys.executable, "-m", *words], capture_output=True, text=True, stdin=subprocess.DEVNULL)
     assert done.returncode == 2
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -12,12 +12,20 @@
 import mothshed.common.web as web
 import tools.replica_memory as replica_memory
 
-SHARED = {"dispatch": "Depot rules and the shift's scooters. ", "repair": "Fault catalogue of the workshop. ",
-          "riders": "How damage is reported. ", "pharmacist": "Refill rules. ", "counter": "Pickup rules. ",
-          "assistant": "Order states. "}
+SHARED = {
+    "dispatch": "Depot rules and the shift's scooters. ",
+    "repair": "Fault catalogue of the workshop. ",
+    "riders": "How damage is reported. ",
+    "pharmacist": "Refill rules. ",
+    "counter": "Pickup rules. ",
+    "assistant": "Order states. ",
+}
 # kind: (share of the traffic, own characters, shared characters, tokens, safe, streamed)
-KINDS = {"summary": (0.3, 2600, 2048, 24, False, True), "question": (0.4, 300, 1024, 16, False, True),
-         "flag": (0.3, 120, 512, 2, True, False)}
+KINDS = {
+    "summary": (0.3, 2600, 2048, 24, False, True),
+    "question": (0.4, 300, 1024, 16, False, True),
+    "flag": (0.3, 120, 512, 2, True, False),
+}
 
 
 def make(seed, number, tenants, kinds=KINDS, sites=1):
@@ -26,21 +34,45 @@
     tenant = chance.choice(tenants)
     kind = chance.choices(list(kinds), [k[0] for k in kinds.values()])[0]
     share, own, shared, tokens, safe, stream = kinds[kind]
-    site = chance.randrange(sites) if sites > 1 else 0      # each site shares a prefix of its own
+    site = chance.randrange(sites) if sites > 1 else 0  # each site shares a prefix of its own
     head = (f"site {site}: " + SHARED.get(tenant, tenant + " ") * 200)[:shared]
     tail = "".join(chance.choice("abcdefghij ") for _ in range(own))
-    return {"id": f"q{seed}-{number}", "tenant": tenant, "kind": kind, "safe": safe, "stream": stream,
-            "prompt": head + tail, "tokens": tokens}
+    return {
+        "id": f"q{seed}-{number}",
+        "tenant": tenant,
+        "kind": kind,
+        "safe": safe,
+        "stream": stream,
+        "prompt": head + tail,
+        "tokens": tokens,
+    }
 
 
 def send(desk, router, model, call):
     """One send to one router; returns the row of what came back."""
-    headers = {"x-request-id": call["id"], "x-tenant": call["tenant"], "x-kind": call["kind"],
-               "x-safe-to-repeat": str(call["safe"]).lower()}
+    headers = {
+        "x-request-id": call["id"],
+        "x-tenant": call["tenant"],
+        "x-kind": call["kind"],
+        "x-safe-to-repeat": str(call["safe"]).lower(),
+    }
     body = {"model": model, "prompt": call["prompt"], "max_tokens": call["tokens"], "stream": call["stream"]}
-    row = {"id": call["id"], "tenant": call["tenant"], "kind": call["kind"], "safe": call["safe"], "router": router,
-           "digest": replica_memory.digest_of(call["prompt"]), "tokens": call["tokens"], "sent": desk.now(),
-           "first": None, "status": 0, "text": "", "end": "", "verdict": "", "retry": None}
+    row = {
+        "id": call["id"],
+        "tenant": call["tenant"],
+        "kind": call["kind"],
+        "safe": call["safe"],
+        "router": router,
+        "digest": replica_memory.digest_of(call["prompt"]),
+        "tokens": call["tokens"],
+        "sent": desk.now(),
+        "first": None,
+        "status": 0,
+        "text": "",
+        "end": "",
+        "verdict": "",
+        "retry": None,
+    }
     try:
         response = desk.web.send("POST", f"http://{router}/v1/completions", body, headers, read=12)
     except web.WebFault as e:
@@ -63,8 +95,12 @@
         if response.status == 200:
             row.update(text=said["choices"][0]["text"], end="whole", first=desk.now(), answer=said["id"])
         else:
-            row.update(end="answered", verdict=said["error"]["verdict"], error=said["error"]["message"],
-                       retry=response.headers.get("retry-after"))
+            row.update(
+                end="answered",
+                verdict=said["error"]["verdict"],
+                error=said["error"]["message"],
+                retry=response.headers.get("retry-after"),
+            )
         return
     done, finish = False, None
     for line in response.lines():
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -23,10 +23,16 @@
 import tools.hollow.sweeps as sweeps
 
 FOLDER = pathlib.Path(__file__).parent.parent / "docs" / "capacity"
-LONGEST = 900       # s; a trial that takes longer is ended
-JOBS_MOST = 6       # processes at once
-PLOTTED = {"router: gossip processor", "keepers: configuration and agreement processor", "router: usage bytes got",
-           "usage owner: processor a report", "configuration snapshot: bytes", "change: bytes the keepers send"}
+LONGEST = 900  # s; a trial that takes longer is ended
+JOBS_MOST = 6  # processes at once
+PLOTTED = {
+    "router: gossip processor",
+    "keepers: configuration and agreement processor",
+    "router: usage bytes got",
+    "usage owner: processor a report",
+    "configuration snapshot: bytes",
+    "change: bytes the keepers send",
+}
 
 
 class TrialFailed(Exception):
@@ -35,8 +41,13 @@
 
 def trial(module, name, words):
     """One trial in a process of its own."""
-    done = subprocess.run([sys.executable, "-m", "tools.hollow.one", module, name, json.dumps(words)],
-                          capture_output=True, text=True, timeout=LONGEST, cwd=FOLDER.parent.parent)
+    done = subprocess.run(
+        [sys.executable, "-m", "tools.hollow.one", module, name, json.dumps(words)],
+        capture_output=True,
+        text=True,
+        timeout=LONGEST,
+        cwd=FOLDER.parent.parent,
+    )
     if done.returncode:
         raise TrialFailed(f"{module} {name} {words}: {done.stderr[-400:]}")
     return json.loads(done.stdout)
@@ -45,8 +56,11 @@
 def measure(table, jobs, out=print):
     """sweep -> [[words, figures], ...]; the dearest trials begin first."""
     found = {sweep: [None] * len(rows) for sweep, (module, name, rows) in table.items()}
-    todo = [(sweep, at, module, name, words) for sweep, (module, name, rows) in table.items()
-            for at, words in reversed(list(enumerate(rows)))]
+    todo = [
+        (sweep, at, module, name, words)
+        for sweep, (module, name, rows) in table.items()
+        for at, words in reversed(list(enumerate(rows)))
+    ]
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         due = {pool.submit(trial, module, name, words): (sweep, at, words) for sweep, at, module, name, words in todo}
         for one in concurrent.futures.as_completed(due):
@@ -70,11 +84,15 @@
     for name, sweep, unit, points, line in slopes(found):
         said = "  ".join(f"{x:g}: {y:.4g}" for x, y in points)
         due = sweeps.DESIGN[sweep]
-        out(f"{name} [{unit}] by {sweep}: at {due:g} {fits.at(line, due):.4g}, slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
-            f"error {100 * line['error']:.1f} %, worst {100 * line['worst']:.1f} %   ({said})")
+        out(
+            f"{name} [{unit}] by {sweep}: at {due:g} {fits.at(line, due):.4g}, slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
+            f"error {100 * line['error']:.1f} %, worst {100 * line['worst']:.1f} %   ({said})"
+        )
     for sweep in ("idle", "cuts"):
         for words, said in found.get(sweep, []):
-            out(f"{sweep} {json.dumps(words)}: {json.dumps({k: round(v, 3) if isinstance(v, float) else v for k, v in said.items()})}")
+            out(
+                f"{sweep} {json.dumps(words)}: {json.dumps({k: round(v, 3) if isinstance(v, float) else v for k, v in said.items()})}"
+            )
 
 
 def draw(found):
@@ -84,11 +102,14 @@
             fits.plot(FOLDER / f"{stem}.svg", name, sweep, unit, points, line)
 
 
-@cappa.command(name="capacity", help="Measures what each role spends by size. Example: python -m tools.capacity --jobs 4")
+@cappa.command(
+    name="capacity", help="Measures what each role spends by size. Example: python -m tools.capacity --jobs 4"
+)
 @dataclasses.dataclass
 class Capacity:
     only: typing.Annotated[typing.List[str], cappa.Arg(long=True, help=f"a sweep: {', '.join(sweeps.FULL)}")] = (
-        dataclasses.field(default_factory=list))
+        dataclasses.field(default_factory=list)
+    )
     jobs: typing.Annotated[int, cappa.Arg(long=True, help=f"processes at once, at most {JOBS_MOST}")] = 4
     small: typing.Annotated[bool, cappa.Arg(long=True, help="the sizes of the test; nothing is kept")] = False
     kept: typing.Annotated[bool, cappa.Arg(long="show", help="shows the kept figures, measures nothing")] = False
--- a/tools/elections.py
+++ b/tools/elections.py
@@ -9,8 +9,8 @@
 import tools.simulate as simulate
 import tools.simulator.fleet as fleet
 
-STEP = 0.01         # s; how finely the simulator is looked at
-MOST = 12.0         # s; given up after
+STEP = 0.01  # s; how finely the simulator is looked at
+MOST = 12.0  # s; given up after
 
 
 def owned(f, part=0):
@@ -39,9 +39,16 @@
     f.run(2 + f.random.random())
     f.kill(f.owner())
     again, bare = until(f, lambda: owned(f))
-    rest, more = until(f, lambda: all(f.parts[n].lease.owner and f.parts[n].lease.sequence()
-                                      and f.machines[f.owner() or "outside"].alive and f.parts[n].lease.owner
-                                      == f.settings[f.owner()]["address"] for n in f.names("route")))
+    rest, more = until(
+        f,
+        lambda: all(
+            f.parts[n].lease.owner
+            and f.parts[n].lease.sequence()
+            and f.machines[f.owner() or "outside"].alive
+            and f.parts[n].lease.owner == f.settings[f.owner()]["address"]
+            for n in f.names("route")
+        ),
+    )
     return birth, again, again + rest, bare + more
 
 
@@ -52,12 +59,15 @@
 def main():
     seeds, count = simulate.seeds_and_jobs("times without an owner, simulated", "1-40")
     rows = list(simulate.many([("", s, "", "") for s in seeds], count, call))
-    for at, name in enumerate(("birth of all parts", "owner ready after a kill", "every router leased by it",
-                               "longest without a lease")):
+    for at, name in enumerate(
+        ("birth of all parts", "owner ready after a kill", "every router leased by it", "longest without a lease")
+    ):
         times = sorted((row[at], seed) for row, seed in zip(rows, seeds))
         pick = lambda share: times[min(len(times) - 1, int(share * len(times)))][0]
-        print(f"{name:26} p50 {pick(.5):.2f} s  p90 {pick(.9):.2f} s  p99 {pick(.99):.2f} s  "
-              f"worst {times[-1][0]:.2f} s (seed {times[-1][1]})")
+        print(
+            f"{name:26} p50 {pick(0.5):.2f} s  p90 {pick(0.9):.2f} s  p99 {pick(0.99):.2f} s  "
+            f"worst {times[-1][0]:.2f} s (seed {times[-1][1]})"
+        )
 
 
 if __name__ == "__main__":
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,10 +21,24 @@
 import tools.relay as relay
 
 DEPLOYMENTS = {
-    "patinetes": {"zones": ["mx-a", "mx-b", "mx-c"], "machines": 10, "disks": 3, "replicas": 5, "rate": 8.0,
-                  "model": "shift-notes", "tenants": ["dispatch", "repair", "riders"]},
-    "tesfaye": {"zones": ["aa-1", "aa-2", "aa-3", "aa-4"], "machines": 12, "disks": 3, "replicas": 9, "rate": 16.0,
-                "model": "refill-check", "tenants": ["pharmacist", "counter", "assistant"]},
+    "patinetes": {
+        "zones": ["mx-a", "mx-b", "mx-c"],
+        "machines": 10,
+        "disks": 3,
+        "replicas": 5,
+        "rate": 8.0,
+        "model": "shift-notes",
+        "tenants": ["dispatch", "repair", "riders"],
+    },
+    "tesfaye": {
+        "zones": ["aa-1", "aa-2", "aa-3", "aa-4"],
+        "machines": 12,
+        "disks": 3,
+        "replicas": 9,
+        "rate": 16.0,
+        "model": "refill-check",
+        "tenants": ["pharmacist", "counter", "assistant"],
+    },
 }
 
 
@@ -36,10 +50,14 @@
 
 def document(deployment, **changes):
     d = DEPLOYMENTS[deployment]
-    return {"model": d["model"], "kinds": configuration.EXAMPLE["kinds"],
-            "tenants": {t: {"share": 1} for t in d["tenants"]},
-            "pools": {"main": {"selector": {"app": d["model"]}, "least_prefill": 1, "least_decode": 1}},
-            "pairings": [{"pool": "main", "policy": "prefix_affinity"}], **changes}
+    return {
+        "model": d["model"],
+        "kinds": configuration.EXAMPLE["kinds"],
+        "tenants": {t: {"share": 1} for t in d["tenants"]},
+        "pools": {"main": {"selector": {"app": d["model"]}, "least_prefill": 1, "least_decode": 1}},
+        "pairings": [{"pool": "main", "policy": "prefix_affinity"}],
+        **changes,
+    }
 
 
 class Fleet:
@@ -79,8 +97,14 @@
         self.commands[name] = command
         out = open(self.folder / f"{name}.out", "a")
         env = {**os.environ, "PYTHONUNBUFFERED": "1"}
-        self.procs[name] = subprocess.Popen([sys.executable, "-m", *command], stdout=out, stderr=out, env=env,
-                                            stdin=subprocess.DEVNULL, cwd=pathlib.Path(__file__).parent.parent)
+        self.procs[name] = subprocess.Popen(
+            [sys.executable, "-m", *command],
+            stdout=out,
+            stderr=out,
+            env=env,
+            stdin=subprocess.DEVNULL,
+            cwd=pathlib.Path(__file__).parent.parent,
+        )
 
     def relaunch(self, name):
         self.launch(name, self.commands[name])
@@ -88,11 +112,29 @@
     def add_replica(self, name, number, service=None):
         at = self.spot(100 + number)
         self.replica_at[name] = at
-        self.launch(name, ["tools.stand_in_replica", "--name", name, "--address", at,
-                           "--ledger", str(self.folder / f"{name}.ledger")])
+        self.launch(
+            name,
+            [
+                "tools.stand_in_replica",
+                "--name",
+                name,
+                "--address",
+                at,
+                "--ledger",
+                str(self.folder / f"{name}.ledger"),
+            ],
+        )
         zones = self.plan["zones"]
-        self.set_listed({"name": name, "address": at, "zone": zones[number % len(zones)],
-                         "service": service or self.plan["model"], "labels": {"app": self.plan["model"]}, "state": "ready"})
+        self.set_listed(
+            {
+                "name": name,
+                "address": at,
+                "zone": zones[number % len(zones)],
+                "service": service or self.plan["model"],
+                "labels": {"app": self.plan["model"]},
+                "state": "ready",
+            }
+        )
 
     def set_listed(self, item):
         self.pool.request("POST", f"http://{self.list_at}/set", json=item)
@@ -102,17 +144,32 @@
         if self.relays:
             more = {**more, "listen": f"{host}:{free_port(host)}"}
             self.relays.add(name, address, more["listen"])
-        settings = {"name": name, "address": address, "http": f"{host}:{free_port(host)}", "cell": cell, "seeds": seeds,
-                    "list_url": f"http://{self.list_at}/replicas", "ring": str(self.folder / f"{name}.ring"),
-                    "first_keepers": seeds, **more}
+        settings = {
+            "name": name,
+            "address": address,
+            "http": f"{host}:{free_port(host)}",
+            "cell": cell,
+            "seeds": seeds,
+            "list_url": f"http://{self.list_at}/replicas",
+            "ring": str(self.folder / f"{name}.ring"),
+            "first_keepers": seeds,
+            **more,
+        }
         self.settings[name] = settings
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.launch(name, [program, "--settings", str(path)])
 
     def add_keeper(self, name, address, cell, seeds, **more):
-        self.add_daemon("tools.keep_on_bad_disk" if self.relays else "mothshed.programs.keep", name, address, cell, seeds,
-                        data=str(self.folder / f"{name}.data"), **more)
+        self.add_daemon(
+            "tools.keep_on_bad_disk" if self.relays else "mothshed.programs.keep",
+            name,
+            address,
+            cell,
+            seeds,
+            data=str(self.folder / f"{name}.data"),
+            **more,
+        )
 
     def add_router(self, name, number, cell, seeds):
         self.add_daemon("mothshed.programs.route", name, self.spot(number), cell, seeds)
@@ -173,7 +230,7 @@
         try:
             self.pool.request("POST", f"http://{self.replica_at[replica]}/fault", json=body, timeout=2.0)
         except (urllib3.exceptions.HTTPError, OSError):
-            pass                # a crash answers nothing
+            pass  # a crash answers nothing
 
     def signal(self, name, number):
         proc = self.procs[name]
@@ -191,7 +248,7 @@
                 try:
                     rows.append(json.loads(line))
                 except ValueError:
-                    pass        # the last line of a killed stand-in
+                    pass  # the last line of a killed stand-in
         return sorted(rows, key=lambda r: r["at"])
 
     def shown_leaving(self):
--- a/tools/fleet_faults.py
+++ b/tools/fleet_faults.py
@@ -13,17 +13,35 @@
 import mothshed.common.world as world
 import tools.fleet as fleet_module
 
-BACK = 2.0      # s until something killed is started again
-HEAL = 4.0      # s until what was cut or hurt heals
-SLOW = 0.05     # s; delay of slow links and disks
-FREEZE = 2.5    # s a frozen process stays so
-
-
-NAMES = ("kill_router", "term_router", "kill_owner", "term_owner", "crash_replica", "leave_replica", "freeze_router",
-         "freeze_owner", "wipe_keeper", "config", "race",
-         "cut_owner", "cut_owner_one_way", "cut_core", "cut_router", "slow_links",
-         "disk_slow", "disk_stalls", "disk_full", "disk_sync_fails")
-BY_RELAY = NAMES[11:]       # these need the relay and the bad disks
+BACK = 2.0  # s until something killed is started again
+HEAL = 4.0  # s until what was cut or hurt heals
+SLOW = 0.05  # s; delay of slow links and disks
+FREEZE = 2.5  # s a frozen process stays so
+
+
+NAMES = (
+    "kill_router",
+    "term_router",
+    "kill_owner",
+    "term_owner",
+    "crash_replica",
+    "leave_replica",
+    "freeze_router",
+    "freeze_owner",
+    "wipe_keeper",
+    "config",
+    "race",
+    "cut_owner",
+    "cut_owner_one_way",
+    "cut_core",
+    "cut_router",
+    "slow_links",
+    "disk_slow",
+    "disk_stalls",
+    "disk_full",
+    "disk_sync_fails",
+)
+BY_RELAY = NAMES[11:]  # these need the relay and the bad disks
 
 
 def parse(text):
@@ -163,8 +181,13 @@
 
     def race(self):
         base = self.fleet.config()["latest"]
-        both = [threading.Thread(target=self.write, args=(
-            base, f"race-{base}-{n}", fleet_module.document(self.fleet.deployment, note=f"race {n}"))) for n in (1, 2)]
+        both = [
+            threading.Thread(
+                target=self.write,
+                args=(base, f"race-{base}-{n}", fleet_module.document(self.fleet.deployment, note=f"race {n}")),
+            )
+            for n in (1, 2)
+        ]
         for thread in both:
             thread.start()
         for thread in both:
--- a/tools/fleet_run.py
+++ b/tools/fleet_run.py
@@ -33,22 +33,37 @@
         limit = 2.5 if kind == "flag" else 8.0
         good = [rs for rs in by.values() if rs[-1]["end"] == "whole" and rs[-1]["done"] - rs[0]["sent"] <= limit]
         first = [rs[-1]["first"] - rs[0]["sent"] for rs in by.values() if rs[-1]["end"] == "whole"]
-        lines.append(f"{kind:9} asked {len(by):4}  in time {share(len(good), len(by)):>8}  first token "
-                     f"p50 {middle(first, .5):.3f} s  p95 {middle(first, .95):.3f} s")
+        lines.append(
+            f"{kind:9} asked {len(by):4}  in time {share(len(good), len(by)):>8}  first token "
+            f"p50 {middle(first, 0.5):.3f} s  p95 {middle(first, 0.95):.3f} s"
+        )
     count = lambda test: sum(1 for r in rows if test(r))
     seen, extra = set(), 0
     for row in (r for r in ledger if r["kind"] == "seen"):
         extra += (row["request"], row["role"]) in seen
         seen.add((row["request"], row["role"]))
-    lines.append(f"bounced {count(lambda r: r['status'] == 503)}  failed may_have_run "
-                 f"{count(lambda r: r['verdict'] == 'may_have_run')}  broken {count(lambda r: r['end'] == 'broken')}  "
-                 f"lost {count(lambda r: r['end'] == 'lost')}  refused connections {count(lambda r: r['end'] == 'refused')}")
+    lines.append(
+        f"bounced {count(lambda r: r['status'] == 503)}  failed may_have_run "
+        f"{count(lambda r: r['verdict'] == 'may_have_run')}  broken {count(lambda r: r['end'] == 'broken')}  "
+        f"lost {count(lambda r: r['end'] == 'lost')}  refused connections {count(lambda r: r['end'] == 'refused')}"
+    )
     lines.append(f"sends seen by replicas {sum(r['kind'] == 'seen' for r in ledger)}  extra {extra}")
     return lines
 
 
-def run(folder, deployment, seconds, rate, faults, seed, kinds=callers.KINDS, out=print, body=None, begun=lambda fleet: None,
-        **shape):
+def run(
+    folder,
+    deployment,
+    seconds,
+    rate,
+    faults,
+    seed,
+    kinds=callers.KINDS,
+    out=print,
+    body=None,
+    begun=lambda fleet: None,
+    **shape,
+):
     """Runs one day; returns (rules, rows, ledger)."""
     relays = any(name in fleet_faults.BY_RELAY for at, name in fleet_faults.parse(faults))
     fleet = fleet_module.Fleet(folder, deployment, relays=relays, **shape)
@@ -69,7 +84,7 @@
         rows = load.run()
         for thread in hurt.threads:
             thread.join(60)
-        time.sleep(1.5)     # frees and late sends come to rest before the books are read
+        time.sleep(1.5)  # frees and late sends come to rest before the books are read
         final = fleet.config("/configuration/history")
         ledger, shown = fleet.ledger(), fleet.shown_leaving()
         rules = judge.all_rules(rows, ledger, writes, shown, final, hurt.refused)
--- a/tools/hollow/books.py
+++ b/tools/hollow/books.py
@@ -21,11 +21,11 @@
         self.clear()
 
     def clear(self):
-        self.spent = collections.Counter()      # (role, part of the code) -> s of processor time
-        self.sent = collections.Counter()       # (role of the sender, kind) -> records
-        self.bytes = collections.Counter()      # the same -> bytes
-        self.got = collections.Counter()        # (role of the receiver, kind) -> bytes
-        self.fell = collections.Counter()       # kind -> records too long to send
+        self.spent = collections.Counter()  # (role, part of the code) -> s of processor time
+        self.sent = collections.Counter()  # (role of the sender, kind) -> records
+        self.bytes = collections.Counter()  # the same -> bytes
+        self.got = collections.Counter()  # (role of the receiver, kind) -> bytes
+        self.fell = collections.Counter()  # kind -> records too long to send
 
     def total(self, table, role, kinds=None):
         return sum(n for (who, kind), n in table.items() if who == role and (kinds is None or kind in kinds))
@@ -59,7 +59,7 @@
     def __init__(self, seed, books):
         super().__init__(seed)
         self.books = books
-        self.charged = False    # whether a machine is busy for as long as its events took this processor
+        self.charged = False  # whether a machine is busy for as long as its events took this processor
 
     def spawn(self, machine, call):
         super().spawn(machine, call)
@@ -111,12 +111,14 @@
     def __init__(self, loop, books):
         super().__init__(loop)
         self.books = books
-        self.places = {}        # machine name -> cell
+        self.places = {}  # machine name -> cell
 
     def delay(self, one, other):
         here, there = self.places.get(one.name, ""), self.places.get(other.name, "")
         way = design.NEAR if design.region(here) == design.region(there) else design.FAR
-        due = max(self.loop.time, one.frozen_until if self.loop.charged else 0.0) + way * (1 + 0.2 * self.loop.random.random())
+        due = max(self.loop.time, one.frozen_until if self.loop.charged else 0.0) + way * (
+            1 + 0.2 * self.loop.random.random()
+        )
         due = max(due, self.last.get((one.name, other.name), 0.0) + 1e-6)
         self.last[(one.name, other.name)] = due
         return due - self.loop.time
--- a/tools/hollow/design.py
+++ b/tools/hollow/design.py
@@ -16,24 +16,30 @@
 REQUESTS_S, TOKENS_S, PROMPT_GB_S = 12000, 3100000, 15000
 READERS_SHARE, CHANGES_DAY, IN_FORCE_S = 0.29, 2600, 19
 CORE_SHARE, MEMORY_MB, KB_S = 0.029, 64, 14
-READING_S = 0.2         # guess: s a prompt is being read, its wait included
-WRITING_S = 9.0         # guess: s an answer is being written: 258 tokens at half the 70 ms allowed
-PAGE = 50               # replicas on one page of the platform's list, as the users' sites have it
-NEAR, FAR = 0.0005, 0.03    # guess: s one way within a region and between two
+READING_S = 0.2  # guess: s a prompt is being read, its wait included
+WRITING_S = 9.0  # guess: s an answer is being written: 258 tokens at half the 70 ms allowed
+PAGE = 50  # replicas on one page of the platform's list, as the users' sites have it
+NEAR, FAR = 0.0005, 0.03  # guess: s one way within a region and between two
 
 
 @dataclasses.dataclass(frozen=True)
 class Size:
     """One size of a hollow fleet."""
+
     routers: int = NODES
     replicas: int = REPLICAS
     models: int = MODELS
-    tenants: int = TENANTS      # each with a route of its own
-    requests: float = 0.0       # requests a second and router that are running
+    tenants: int = TENANTS  # each with a route of its own
+    requests: float = 0.0  # requests a second and router that are running
 
     def smaller(self, share):
-        return dataclasses.replace(self, routers=max(2, int(self.routers * share)), replicas=max(4, int(self.replicas * share)),
-                                   models=max(1, int(self.models * share)), tenants=max(1, int(self.tenants * share)))
+        return dataclasses.replace(
+            self,
+            routers=max(2, int(self.routers * share)),
+            replicas=max(4, int(self.replicas * share)),
+            models=max(1, int(self.models * share)),
+            tenants=max(1, int(self.tenants * share)),
+        )
 
 
 def cell(at):
@@ -53,12 +59,19 @@
     found, by = {}, {}
     for at in range(size.replicas):
         name = model(at % size.models)
-        row = {"url": f"http://10.{64 + at // 250}.{at % 250}.9:8080", "cell": cell(at), "service": name,
-               "labels": {"service": name}, "leaving": False, "role": "decode", "slots": 64}
+        row = {
+            "url": f"http://10.{64 + at // 250}.{at % 250}.9:8080",
+            "cell": cell(at),
+            "service": name,
+            "labels": {"service": name},
+            "leaving": False,
+            "role": "decode",
+            "slots": 64,
+        }
         found[f"i-{at:08x}"] = row
         by.setdefault(name, []).append(row)
     for own in by.values():
-        for row in own[:max(1, round(READERS_SHARE * len(own))) if len(own) > 1 else 0]:
+        for row in own[: max(1, round(READERS_SHARE * len(own))) if len(own) > 1 else 0]:
             row["role"] = "prefill"
     return found
 
@@ -66,22 +79,51 @@
 def list_pages(size):
     """The list as its pages' bytes."""
     own = sorted(rows(size).items())
-    pages = [dict(own[at:at + PAGE]) for at in range(0, len(own), PAGE)] or [{}]
-    return [json.dumps({"rows": page, "next": n + 1 if n + 1 < len(pages) else None}).encode()
-            for n, page in enumerate(pages)]
+    pages = [dict(own[at : at + PAGE]) for at in range(0, len(own), PAGE)] or [{}]
+    return [
+        json.dumps({"rows": page, "next": n + 1 if n + 1 < len(pages) else None}).encode()
+        for n, page in enumerate(pages)
+    ]
 
 
 def document(size, sequence=1):
     """A configuration: a route for each tenant, a pool for each model; with its text beside it, as sent."""
-    pools = {model(at): {"selector": {"service": model(at)},
-                         "engine": {"memory_tokens": 410894, "handle_life_s": 5.0, "slots": 64}} for at in range(size.models)}
-    routes = [{"name": f"route-of-tenant-{at:03d}", "host": f"tenant-{at:03d}.fleet.example", "prefix": "/v1/answers/",
-               "kind": "stream", "pools": [{"pool": model(at % size.models), "share": 1}], "cutoff_s": 8.0, "aim_s": 1.3,
-               "pause_s": 0.3, "tries": 2, "urgency": 5, "resumable": True} for at in range(size.tenants)]
+    pools = {
+        model(at): {
+            "selector": {"service": model(at)},
+            "engine": {"memory_tokens": 410894, "handle_life_s": 5.0, "slots": 64},
+        }
+        for at in range(size.models)
+    }
+    routes = [
+        {
+            "name": f"route-of-tenant-{at:03d}",
+            "host": f"tenant-{at:03d}.fleet.example",
+            "prefix": "/v1/answers/",
+            "kind": "stream",
+            "pools": [{"pool": model(at % size.models), "share": 1}],
+            "cutoff_s": 8.0,
+            "aim_s": 1.3,
+            "pause_s": 0.3,
+            "tries": 2,
+            "urgency": 5,
+            "resumable": True,
+        }
+        for at in range(size.tenants)
+    ]
     said = {"sequence": sequence, "routes": routes, "pools": pools}
-    return configuration.full({"model": model(0), "kinds": {"any": {"cutoff_s": 8}}, "tenants": {"any": {"share": 1}},
-                               "pools": pools, "pairings": [{"pool": model(0), "policy": "least_usage"}],
-                               "routes": routes, "limits": {"head_bytes": 16384, "body_bytes": 4194304}, "as_sent": said})
+    return configuration.full(
+        {
+            "model": model(0),
+            "kinds": {"any": {"cutoff_s": 8}},
+            "tenants": {"any": {"share": 1}},
+            "pools": pools,
+            "pairings": [{"pool": model(0), "policy": "least_usage"}],
+            "routes": routes,
+            "limits": {"head_bytes": 16384, "body_bytes": 4194304},
+            "as_sent": said,
+        }
+    )
 
 
 def packed(body):
--- a/tools/hollow/fleet.py
+++ b/tools/hollow/fleet.py
@@ -17,7 +17,7 @@
 import tools.simulator.desk as desk_module
 import tools.simulator.loop as loop_module
 
-DRAW_BEAT = 0.2     # s; what is running is drawn anew
+DRAW_BEAT = 0.2  # s; what is running is drawn anew
 
 
 class HollowFleet:
@@ -48,16 +48,28 @@
     def settings(self, name, at, address):
         self.addresses[name], self.net.places[name] = address, design.cell(at)
         self.net.ears[address] = {}
-        return {"name": name, "address": address, "http": address.replace(":70", ":80"), "cell": design.cell(at),
-                "seeds": list(self.seeds), "first_keepers": list(self.seeds), "list_url": "http://10.0.0.2:80"}
+        return {
+            "name": name,
+            "address": address,
+            "http": address.replace(":70", ":80"),
+            "cell": design.cell(at),
+            "seeds": list(self.seeds),
+            "first_keepers": list(self.seeds),
+            "list_url": "http://10.0.0.2:80",
+        }
 
     def add_keeper(self, name, at, address):
         machine = loop_module.Machine(self.loop, name)
-        settings, label = self.settings(name, at, address), iter(range(10 ** 6))
+        settings, label = self.settings(name, at, address), iter(range(10**6))
         self.disks[name] = desk_module.SimDisk(self.loop, machine)
-        keeper = keeper_module.Keeper(self.desk(machine, address, next(label)), settings,
-                                      lambda: self.desk(machine, address, next(label)), self.disks[name],
-                                      lambda n: f"{self.loop.random.getrandbits(8 * n):x}", speech.Speech())
+        keeper = keeper_module.Keeper(
+            self.desk(machine, address, next(label)),
+            settings,
+            lambda: self.desk(machine, address, next(label)),
+            self.disks[name],
+            lambda n: f"{self.loop.random.getrandbits(8 * n):x}",
+            speech.Speech(),
+        )
         keeper.run()
         self.parts[name] = keeper
 
@@ -99,8 +111,15 @@
         self.applied += 1
         machine = self.owner().members[0].machine
         self.owner().members[0].propose(
-            {"op": "stage", "base": machine.latest, "by": "capacity", "id": f"change-{self.applied}",
-             "doc": design.document(self.size, self.applied)}, done)
+            {
+                "op": "stage",
+                "base": machine.latest,
+                "by": "capacity",
+                "id": f"change-{self.applied}",
+                "doc": design.document(self.size, self.applied),
+            },
+            done,
+        )
 
     def in_force(self, sequence):
         """How many routers may send under this sequence or a later one now."""
@@ -115,7 +134,7 @@
                 self.apply()
                 asked = True
             if asked and self.in_force(1) == len(self.routers()) and all(r.ready() for r in self.routers()):
-                self.run(2.0)       # views settle, owners of parts are found
+                self.run(2.0)  # views settle, owners of parts are found
                 return self
         raise RuntimeError("the hollow fleet never became ready")
 
@@ -124,7 +143,7 @@
         if self.size.requests and not self.drawing:
             self.drawing = True
             self.begin_requests()
-            self.run(0.6)       # the first reports are in
+            self.run(0.6)  # the first reports are in
         self.books.clear()
         self.run(span)
         return self.books
--- a/tools/hollow/one.py
+++ b/tools/hollow/one.py
@@ -19,4 +19,4 @@
 
 if __name__ == "__main__":
     print(json.dumps(play(sys.argv[1], sys.argv[2], json.loads(sys.argv[3]))), flush=True)
-    os._exit(0)         # a front's threads would wait for requests that never come
+    os._exit(0)  # a front's threads would wait for requests that never come
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -69,17 +69,29 @@
     duty = usage_duty.UsageDuty(member)
     chance = design.seeded("usage", routers)
     names = [n for n, row in design.rows(size).items() if row["role"] == "decode"]
-    names = names[::constants.PARTS - 1]            # one part's share of the replicas
+    names = names[:: constants.PARTS - 1]  # one part's share of the replicas
     few = design.Size(requests=size.requests / (constants.PARTS - 1))
-    bodies = {f"10.2.0.{at}:70": {"rows": {n: [count, 0.0, *[0] * constants.RANKS] for n, count in design.running(few, chance, names, names).items()},
-                                  "mark": 1} for at in range(routers)}
+    bodies = {
+        f"10.2.0.{at}:70": {
+            "rows": {
+                n: [count, 0.0, *[0] * constants.RANKS]
+                for n, count in design.running(few, chance, names, names).items()
+            },
+            "mark": 1,
+        }
+        for at in range(routers)
+    }
     for sender, body in bodies.items():
         duty.reports[sender] = (1000.0, body["rows"])
     sender, body = next(iter(bodies.items()))
     cost = spent(lambda: duty.on_usage(sender, body))
     up = len(records.pack("usage", part=1, mark=1, rows=body["rows"]))
-    return {"processor a report": cost, "report bytes": up, "sums bytes": member.desk.bytes / member.desk.records,
-            "rows a report": sum(len(b["rows"]) for b in bodies.values()) / routers}
+    return {
+        "processor a report": cost,
+        "report bytes": up,
+        "sums bytes": member.desk.bytes / member.desk.records,
+        "rows a report": sum(len(b["rows"]) for b in bodies.values()) / routers,
+    }
 
 
 def documents(tenants):
@@ -95,18 +107,27 @@
     machine.docs = {at: row for at in range(1, constants.HISTORY + 1)}
     state = design.packed(machine.dump())
     entries = constants.APPEND_MOST // 2 * design.packed([{"i": 1, "t": 1, "c": {"op": "stage", **row, "base": 1}}])
-    return {"document bytes": len(text), "news bytes": len(data), "memory": memory,
-            "pack": spent(lambda: records.pack("news", **news)), "unpack": spent(lambda: records.unpack(data)),
-            "snapshot bytes": state, "largest append bytes": entries, "record most": constants.RECORD_MOST}
+    return {
+        "document bytes": len(text),
+        "news bytes": len(data),
+        "memory": memory,
+        "pack": spent(lambda: records.pack("news", **news)),
+        "unpack": spent(lambda: records.unpack(data)),
+        "snapshot bytes": state,
+        "largest append bytes": entries,
+        "record most": constants.RECORD_MOST,
+    }
 
 
 def log_of(changes):
     """What a keeper's log of so many changes holds in memory and on disk."""
+
     class Machine:
         name = "keep"
 
         def freeze(self, span):
             pass
+
     disk = desk_module.SimDisk(None, Machine())
     log = disk_log.PartLog(disk, 0)
     text = json.dumps(design.document(design.Size()))
@@ -116,7 +137,8 @@
             doc = json.loads(text)
             log.put([{"i": 2 * at + 1, "t": 1, "c": {"op": "stage", "base": at, "doc": doc, "by": "", "id": str(at)}}])
             log.put([{"i": 2 * at + 2, "t": 1, "c": {"op": "activate", "sequence": at + 1}}])
-    memory = held(fill)[1] - sum(len(b) for b in disk.kept.values())    # the disk is in memory here
+
+    memory = held(fill)[1] - sum(len(b) for b in disk.kept.values())  # the disk is in memory here
     return {"memory": memory, "disk bytes": sum(len(b) for b in disk.kept.values())}
 
 
@@ -150,7 +172,7 @@
 
     def prefill(self, desk, ask, place, left, read, ready, urgency):
         ready()
-        return None     # the writer reads for itself: no free is left behind
+        return None  # the writer reads for itself: no free is left behind
 
     def decode(self, desk, ask, place, handle, left, read, ready, after, urgency, wary):
         ready()
@@ -164,8 +186,11 @@
     router = fleet.routers()[0]
     router.speech = HollowSpeech(events, router.speech)
     app = route_front.RouteFront(router)
-    environ = {"REQUEST_METHOD": "POST", "REQUEST_URI": "/v1/answers/", "mothshed.headers": {
-        "Host": "tenant-007.fleet.example", "X-Id": "t-1"}}
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/v1/answers/",
+        "mothshed.headers": {"Host": "tenant-007.fleet.example", "X-Id": "t-1"},
+    }
     count = [0, 0]
 
     def one():
@@ -174,15 +199,29 @@
             count[1] += 1
         if hasattr(said, "close"):
             said.close()
+
     whole = spent(one)
     if count[1] < count[0] * max(1, events):
         raise RuntimeError("a hollow request was not answered whole")
-    ask = route_front.Ask("t", "POST", "tenant-007.fleet.example", "/v1/answers/", {}, b"", [("5c1e", 800), ("91bd", 3200)],
-                          4000, None, fleet.loop.time, fleet.loop.time + 8, router.lease.document()["routes"][7])
+    ask = route_front.Ask(
+        "t",
+        "POST",
+        "tenant-007.fleet.example",
+        "/v1/answers/",
+        {},
+        b"",
+        [("5c1e", 800), ("91bd", 3200)],
+        4000,
+        None,
+        fleet.loop.time,
+        fleet.loop.time + 8,
+        router.lease.document()["routes"][7],
+    )
     sequence, document = router.lease.sequence(), router.lease.document()
 
     def place():
         pair = router.placing.pair(sequence, document, design.model(7), ask)
         router.placing.read(pair)
         router.replicas.end(pair.writer.name)
+
     return {"request": whole, "placing": spent(place), "answered": count[0] > 0}
--- a/tools/hollow/real.py
+++ b/tools/hollow/real.py
@@ -27,17 +27,20 @@
 def idle_router(replicas, tenants):
     """Resident KiB of one router process, step by step, nothing served yet."""
     bare = condition_of()
-    import tools.hollow.design as design        # after the bare figure
+    import tools.hollow.design as design  # after the bare figure
     import mothshed.common.constants as constants
     import mothshed.data_plane.router as router_module
-    import mothshed.programs.process        # what the program itself imports beside
+    import mothshed.programs.process  # what the program itself imports beside
     import tools.hollow.speech as speech_module
+
     loaded = condition_of()
     address, http = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
     own = peers.Peers(address)
     desk = world.Desk(world.Beats(), own, address)
     speech = speech_module.Speech()
-    router = router_module.Router(desk, {"name": "r", "cell": "a", "seeds": [], "list_url": "http://127.0.0.1:1", "http": http}, speech)
+    router = router_module.Router(
+        desk, {"name": "r", "cell": "a", "seeds": [], "list_url": "http://127.0.0.1:1", "http": http}, speech
+    )
     built = condition_of()
     server = router.front()
     server.prepare()
@@ -51,11 +54,18 @@
     router.replicas.take_list(rows)
     listed = condition_of()
     text = json.dumps(design.document(size))
-    for sequence in (1, 2):                 # the one in force and one that is staged
+    for sequence in (1, 2):  # the one in force and one that is staged
         router.lease.docs[sequence] = json.loads(text)
     held = condition_of()
-    return {"bare": bare[0], "imports": loaded[0], "parts": built[0], "front": served[0], "list": listed[0],
-            "documents": held[0], "threads": held[1]}
+    return {
+        "bare": bare[0],
+        "imports": loaded[0],
+        "parts": built[0],
+        "front": served[0],
+        "list": listed[0],
+        "documents": held[0],
+        "threads": held[1],
+    }
 
 
 def connections(count):
@@ -68,8 +78,10 @@
     lines = []
     for at in range(count):
         line = socket.create_connection(peers.split(address))
-        line.sendall(records.pack("hello", address=f"10.9.{at // 250}.{at % 250}:1")
-                     + records.pack("paid", request="r" * 40, replica="i-1"))
+        line.sendall(
+            records.pack("hello", address=f"10.9.{at // 250}.{at % 250}:1")
+            + records.pack("paid", request="r" * 40, replica="i-1")
+        )
         lines.append(line)
     until = time.monotonic() + 20
     while len(heard) < count and time.monotonic() < until:
@@ -78,7 +90,7 @@
         own.tell(who, "paid", request="r" * 40, replica="i-1")
     time.sleep(0.3)
     after = condition_of()
-    files = len(os.listdir("/proc/self/fd")) - count        # this trial's own ends are not the process's
+    files = len(os.listdir("/proc/self/fd")) - count  # this trial's own ends are not the process's
     return {"resident KiB": after[0] - before[0], "threads": after[1] - before[1], "files": files, "heard": len(heard)}
 
 
@@ -96,6 +108,7 @@
         desks[0].tell(ends[1], "paid", request=text, replica="i")
         if not gate.wait(5):
             raise RuntimeError("a record was lost on the local host")
+
     for _ in range(20):
         once()
     began, count, until = time.process_time(), 0, time.monotonic() + most
@@ -103,5 +116,8 @@
         once()
         count += 1
     # sending and receiving are half each of one way; a way and back is two of each
-    return {"processor a record": (time.process_time() - began) / count / 2, "records": 2 * count,
-            "record bytes": len(records.pack("paid", request=text, replica="i"))}
+    return {
+        "processor a record": (time.process_time() - began) / count / 2,
+        "records": 2 * count,
+        "record bytes": len(records.pack("paid", request=text, replica="i")),
+    }
--- a/tools/hollow/speech.py
+++ b/tools/hollow/speech.py
@@ -22,7 +22,13 @@
         return found
 
     def read(self, headers):
-        return {"id": headers["X-Id"], "left": 8.0, "tokens": 4000, "parts": [("5c1e", 800), ("91bd", 3200)], "after": None}
+        return {
+            "id": headers["X-Id"],
+            "left": 8.0,
+            "tokens": 4000,
+            "parts": [("5c1e", 800), ("91bd", 3200)],
+            "after": None,
+        }
 
     def free(self, desk, handle):
         return True
--- a/tools/hollow/sweeps.py
+++ b/tools/hollow/sweeps.py
@@ -1,9 +1,13 @@
 """Which trials are run, along what and at which sizes, and which slopes are read from them."""
 
-LOAD = 30.0     # requests a second and router: the design's 12,000 over 400
+LOAD = 30.0  # requests a second and router: the design's 12,000 over 400
 FULL = {
     "routers": ("trials", "steady", [{"size": {"routers": n}} for n in (50, 100, 200, 400)]),
-    "replicas": ("trials", "steady", [{"size": {"routers": 12, "replicas": n, "requests": LOAD}} for n in (100, 200, 400, 770)]),
+    "replicas": (
+        "trials",
+        "steady",
+        [{"size": {"routers": 12, "replicas": n, "requests": LOAD}} for n in (100, 200, 400, 770)],
+    ),
     "requests": ("trials", "steady", [{"size": {"routers": 12, "requests": n}} for n in (5.0, 10.0, 20.0, 30.0)]),
     "tenants": ("parts", "documents", [{"tenants": n} for n in (30, 60, 120, 240)]),
     "reports": ("parts", "usage_reports", [{"routers": n} for n in (50, 100, 200, 400)]),
@@ -13,20 +17,48 @@
     "connections": ("real", "connections", [{"count": n} for n in (50, 100, 200, 400)]),
     "record bytes": ("real", "records_between", [{"body_bytes": n} for n in (100, 5000, 20000, 60000)]),
     "idle": ("real", "idle_router", [{"replicas": 770, "tenants": 240}]),
-    "cuts": ("trials", "region_cut", [{"whose": "south"}, {"whose": "owner"}, {"whose": "south", "shared": True},
-                                      {"whose": "north", "shared": True}]),
+    "cuts": (
+        "trials",
+        "region_cut",
+        [
+            {"whose": "south"},
+            {"whose": "owner"},
+            {"whose": "south", "shared": True},
+            {"whose": "north", "shared": True},
+        ],
+    ),
 }
 SMALL = {
-    "routers": ("trials", "steady", [{"size": {"routers": n, "replicas": 42, "models": 3, "tenants": 6}} for n in (15, 20, 30, 40)]),
-    "replicas": ("trials", "steady", [{"size": {"routers": 4, "replicas": n, "models": 3, "tenants": 6, "requests": LOAD}}
-                                      for n in (12, 24, 36, 48)]),
+    "routers": (
+        "trials",
+        "steady",
+        [{"size": {"routers": n, "replicas": 42, "models": 3, "tenants": 6}} for n in (15, 20, 30, 40)],
+    ),
+    "replicas": (
+        "trials",
+        "steady",
+        [
+            {"size": {"routers": 4, "replicas": n, "models": 3, "tenants": 6, "requests": LOAD}}
+            for n in (12, 24, 36, 48)
+        ],
+    ),
     "tenants": ("parts", "documents", [{"tenants": n} for n in (10, 20, 30, 40)]),
     "cuts": ("trials", "region_cut", [{"whose": "south", "routers": 9}]),
 }
 # where each sweep's line is read for the size to design for; a log holds 128 changes
 # between snapshots, 32 behind the last one, and that one 32 documents older still
-DESIGN = {"routers": 400, "replicas": 770, "requests": LOAD, "tenants": 240, "reports": 400, "changes": 192, "placing": 770,
-          "events": 258, "connections": 402, "record bytes": 100}
+DESIGN = {
+    "routers": 400,
+    "replicas": 770,
+    "requests": LOAD,
+    "tenants": 240,
+    "reports": 400,
+    "changes": 192,
+    "placing": 770,
+    "events": 258,
+    "connections": 402,
+    "record bytes": 100,
+}
 # (figure, sweep, where it stands in a trial's figures, unit)
 SLOPES = [
     ("router: records sent a second", "routers", ("router", "sent records"), "a second"),
@@ -36,7 +68,12 @@
     ("router: memory of its state", "routers", ("state", "resident bytes a router"), "B"),
     ("routers counted by each", "routers", ("state", "routers counted"), "routers"),
     ("owner: lease asks a second", "routers", ("state", "asks at the owner"), "a second"),
-    ("keepers: configuration and agreement processor", "routers", ("keepers", "processor, configuration and agreement"), "core"),
+    (
+        "keepers: configuration and agreement processor",
+        "routers",
+        ("keepers", "processor, configuration and agreement"),
+        "core",
+    ),
     ("keepers: gossip processor", "routers", ("keepers", "processor, gossip"), "core"),
     ("list pages asked, all nodes", "routers", ("state", "list pages asked"), "a second"),
     ("change: bytes the keepers send", "routers", ("change", "keepers sent bytes"), "B"),
--- a/tools/hollow/trials.py
+++ b/tools/hollow/trials.py
@@ -9,7 +9,7 @@
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
 
-SPAN = 2.0      # simulated s that are measured
+SPAN = 2.0  # simulated s that are measured
 
 
 def resident():
@@ -20,10 +20,12 @@
 
 def per_node(books, role, count, span):
     """Records, bytes and processor time a second of one node of a role, whole and by part."""
-    said = {"sent records": books.total(books.sent, role) / count / span,
-            "sent bytes": books.total(books.bytes, role) / count / span,
-            "got bytes": books.total(books.got, role) / count / span,
-            "processor": books.total(books.spent, role) / count / span}
+    said = {
+        "sent records": books.total(books.sent, role) / count / span,
+        "sent bytes": books.total(books.bytes, role) / count / span,
+        "got bytes": books.total(books.got, role) / count / span,
+        "processor": books.total(books.spent, role) / count / span,
+    }
     for part, labels in books_module.PARTS.items():
         said[f"processor, {part}"] = books.total(books.spent, role, labels) / count / span
         kinds = [k for k in labels if k[0].islower()]
@@ -40,19 +42,25 @@
     held = resident() - before
     books = fleet.measure(SPAN)
     routers, keepers = fleet.routers(), fleet.keepers()
-    state = {"resident bytes a router": held / size.routers,
-             "neighbours": sum(len(r.gossip.view) for r in routers) / size.routers,
-             "routers counted": sum(len(r.gossip.routers) for r in routers) / size.routers,
-             "leaseholders": len(fleet.owner().duties[0].holders),
-             "usage reports": max(len(d.shared_usage.reports) for k in keepers for d in k.duties[1:]),
-             "asks at the owner": sum(n for (role, kind), n in books.sent.items() if kind == "ask") / SPAN,
-             "grants of the owner": sum(n for (role, kind), n in books.sent.items() if kind == "grant") / SPAN,
-             "appends": sum(n for (role, kind), n in books.sent.items() if kind in ("append", "append_say")) / SPAN,
-             "list pages asked": sum(n for (role, kind), n in books.sent.items() if kind == "list page") / SPAN,
-             "faults": len(fleet.loop.faults)}
+    state = {
+        "resident bytes a router": held / size.routers,
+        "neighbours": sum(len(r.gossip.view) for r in routers) / size.routers,
+        "routers counted": sum(len(r.gossip.routers) for r in routers) / size.routers,
+        "leaseholders": len(fleet.owner().duties[0].holders),
+        "usage reports": max(len(d.shared_usage.reports) for k in keepers for d in k.duties[1:]),
+        "asks at the owner": sum(n for (role, kind), n in books.sent.items() if kind == "ask") / SPAN,
+        "grants of the owner": sum(n for (role, kind), n in books.sent.items() if kind == "grant") / SPAN,
+        "appends": sum(n for (role, kind), n in books.sent.items() if kind in ("append", "append_say")) / SPAN,
+        "list pages asked": sum(n for (role, kind), n in books.sent.items() if kind == "list page") / SPAN,
+        "faults": len(fleet.loop.faults),
+    }
     # the keepers' sum is given whole: the owner of all parts may be one of them
-    return {"router": per_node(books, "route", size.routers, SPAN), "keepers": per_node(books, "keep", 1, SPAN),
-            "state": state, "change": change(fleet)}
+    return {
+        "router": per_node(books, "route", size.routers, SPAN),
+        "keepers": per_node(books, "keep", 1, SPAN),
+        "state": state,
+        "change": change(fleet),
+    }
 
 
 def change(fleet):
@@ -60,19 +68,24 @@
     fleet.books.clear()
     began, box, size = fleet.loop.time, [], fleet.size
     fleet.apply(lambda result: box.append((result, fleet.loop.time)))
-    least = size.routers            # routers with a lease of any sequence, at the worst moment
+    least = size.routers  # routers with a lease of any sequence, at the worst moment
     while fleet.in_force(fleet.applied) < size.routers and fleet.loop.time < began + 20:
         fleet.run(0.01)
         least = min(least, fleet.in_force(1))
     books = fleet.books
     docs = ("news", "grant", "news_ack")
     own = [kind for kind in ("news", "grant", "append", "snap")]
-    return {"acknowledged after": box[0][1] - began if box else None, "in force after": fleet.loop.time - began,
-            "least leased": least, "keepers sent bytes": books.total(books.bytes, "keep", own),
-            "news records": books.sent[("keep", "news")], "news bytes": books.bytes[("keep", "news")],
-            "asks": sum(n for (role, kind), n in books.sent.items() if kind == "ask"),
-            "keepers processor": books.total(books.spent, "keep", books_module.PARTS["configuration and agreement"]),
-            "router processor": books.total(books.spent, "route", docs) / size.routers}
+    return {
+        "acknowledged after": box[0][1] - began if box else None,
+        "in force after": fleet.loop.time - began,
+        "least leased": least,
+        "keepers sent bytes": books.total(books.bytes, "keep", own),
+        "news records": books.sent[("keep", "news")],
+        "news bytes": books.bytes[("keep", "news")],
+        "asks": sum(n for (role, kind), n in books.sent.items() if kind == "ask"),
+        "keepers processor": books.total(books.spent, "keep", books_module.PARTS["configuration and agreement"]),
+        "router processor": books.total(books.spent, "route", docs) / size.routers,
+    }
 
 
 def charged_change(size, seed="capacity", most=30.0):
@@ -86,6 +99,7 @@
 
     def term():
         return max(k.members[0].log.term for k in fleet.keepers())
+
     calm, own, began = term(), fleet.owner(), fleet.loop.time
     fleet.run(2.0)
     if fleet.owner() is None or term() != calm:
@@ -95,8 +109,14 @@
     while fleet.in_force(fleet.applied) < size.routers and fleet.loop.time < began + most:
         fleet.run(0.02)
         least = min(least, fleet.in_force(1))
-    return {"calm": True, "in force after": fleet.loop.time - began, "in force at": fleet.in_force(fleet.applied),
-            "elections": term() - calm, "owner is the same": fleet.owner() is own, "least leased": least}
+    return {
+        "calm": True,
+        "in force after": fleet.loop.time - began,
+        "in force at": fleet.in_force(fleet.applied),
+        "elections": term() - calm,
+        "owner is the same": fleet.owner() is own,
+        "least leased": least,
+    }
 
 
 def region_cut(routers=60, shared=False, whose="south", seed="cut"):
@@ -123,6 +143,7 @@
 
     def owning():
         return any(parts[n].members[0].owns and parts[n].members[0].ready for n in most)
+
     while not owning() and fleet.loop.time < began + 8:
         fleet.run(0.01)
     found, elected = owning(), fleet.loop.time - began
@@ -130,8 +151,9 @@
     if found:
         keeper = next(parts[n] for n in most if parts[n].members[0].owns)
         fleet.applied += 1
-        keeper.members[0].propose({"op": "stage", "base": 1, "by": "capacity", "id": "cut",
-                                   "doc": design.document(size, 2)})
+        keeper.members[0].propose(
+            {"op": "stage", "base": 1, "by": "capacity", "id": "cut", "doc": design.document(size, 2)}
+        )
     at, outside = fleet.loop.time, None
     while fleet.loop.time < at + 12:
         fleet.run(0.01)
@@ -143,8 +165,17 @@
     healed = fleet.loop.time
     while fleet.in_force(2 if found else 1) < routers and fleet.loop.time < healed + 20:
         fleet.run(0.01)
-    return {"routers outside": len(far), "routers cut off": len(cut), "keepers in one region": shared, "cut": gone,
-            "keepers left outside": len(most), "owner outside after": elected if found else None,
-            "in force outside after": outside, "least leased outside": low[0], "leased outside at the end": during[0],
-            "leased in the cut region at the end": during[1], "cut lasted": healed - began,
-            "in force everywhere after healing": fleet.loop.time - healed}
+    return {
+        "routers outside": len(far),
+        "routers cut off": len(cut),
+        "keepers in one region": shared,
+        "cut": gone,
+        "keepers left outside": len(most),
+        "owner outside after": elected if found else None,
+        "in force outside after": outside,
+        "least leased outside": low[0],
+        "leased outside at the end": during[0],
+        "leased in the cut region at the end": during[1],
+        "cut lasted": healed - began,
+        "in force everywhere after healing": fleet.loop.time - healed,
+    }
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -7,12 +7,12 @@
 
 import collections
 
-GAP_OLD = 2.0           # s; after an acknowledgement nothing older is handled
-GAP_BACK = 0.25         # s; after a replica saw the new one nothing falls back
-GAP_LEAVE = 3.0         # s; after the list shows a replica leaving
-GAP_TURN = 3.0          # s; between orders of two holders
-GRACE = 0.15            # s; what real clocks and a loaded machine add; the simulator allows nothing
-BUDGET = (10.0, 0.2, 2) # window, share of the requests, one small slack for the whole fleet
+GAP_OLD = 2.0  # s; after an acknowledgement nothing older is handled
+GAP_BACK = 0.25  # s; after a replica saw the new one nothing falls back
+GAP_LEAVE = 3.0  # s; after the list shows a replica leaving
+GAP_TURN = 3.0  # s; between orders of two holders
+GRACE = 0.15  # s; what real clocks and a loaded machine add; the simulator allows nothing
+BUDGET = (10.0, 0.2, 2)  # window, share of the requests, one small slack for the whole fleet
 
 
 def runs(ledger, role=None):
@@ -48,9 +48,10 @@
     by, found = asks(history), []
     for run in runs(ledger):
         rows = by.get(run["request"], ())
-        good = any(not bounced(r) and r["sent"] <= run["at"]
-                   and (r["safe"] or r["end"] != "whole" or run["at"] <= r["done"])
-                   for r in rows)
+        good = any(
+            not bounced(r) and r["sent"] <= run["at"] and (r["safe"] or r["end"] != "whole" or run["at"] <= r["done"])
+            for r in rows
+        )
         if rows and not good:
             found.append(f"{run['request']} was bounced and ran as {run['role']} at {run['at']:.2f}")
     return found
@@ -83,8 +84,11 @@
 
 
 def own_memory(history, ledger):
-    return [f"{r['request']} continued from memory {r['memory']}, its prompt is {r['digest']}"
-            for r in runs(ledger, "decode") if r["memory"] != r["digest"]]
+    return [
+        f"{r['request']} continued from memory {r['memory']}, its prompt is {r['digest']}"
+        for r in runs(ledger, "decode")
+        if r["memory"] != r["digest"]
+    ]
 
 
 def arrivals(ledger):
@@ -98,19 +102,23 @@
     for row in arrivals(ledger):
         late = [w for w in writes if w["sequence"] > row["sequence"] and row["at"] > w["acked"] + GAP_OLD + grace]
         if late:
-            found.append(f"{row['request']} ran under {row['sequence']} "
-                         f"{row['at'] - late[0]['acked']:.2f} s after {late[0]['sequence']} was acknowledged")
+            found.append(
+                f"{row['request']} ran under {row['sequence']} "
+                f"{row['at'] - late[0]['acked']:.2f} s after {late[0]['sequence']} was acknowledged"
+            )
     return found
 
 
 def no_fall_back(history, ledger, grace=GRACE):
-    found, newest = [], []      # newest: (time, sequence) each time a higher one is first seen
+    found, newest = [], []  # newest: (time, sequence) each time a higher one is first seen
     for row in sorted(arrivals(ledger), key=lambda r: r["at"]):
         if not newest or row["sequence"] > newest[-1][1]:
             newest.append((row["at"], row["sequence"]))
         for at, sequence in newest:
             if sequence > row["sequence"] and row["at"] > at + GAP_BACK + grace:
-                found.append(f"{row['request']} ran under {row['sequence']} {row['at'] - at:.2f} s after {sequence} was seen")
+                found.append(
+                    f"{row['request']} ran under {row['sequence']} {row['at'] - at:.2f} s after {sequence} was seen"
+                )
                 break
     return found
 
@@ -119,8 +127,11 @@
     """accepted, refused: sequences/ids of writes; final: the history read back."""
     rows = {r["id"]: r["sequence"] for r in final["rows"]}
     low = min(rows.values(), default=0)
-    found = [f"accepted {w['id']} is not in the history" for w in accepted
-             if rows.get(w["id"]) != w["sequence"] and w["sequence"] >= low]
+    found = [
+        f"accepted {w['id']} is not in the history"
+        for w in accepted
+        if rows.get(w["id"]) != w["sequence"] and w["sequence"] >= low
+    ]
     found += [f"refused {name} took effect" for name in refused if name in rows]
     bases = collections.Counter(w["base"] for w in accepted if w.get("base") is not None)
     found += [f"{n} writes over {base} were accepted" for base, n in bases.items() if n > 1]
@@ -129,9 +140,12 @@
 
 def leaving_left_alone(ledger, shown, grace=GRACE):
     """shown: replica -> spans [from, until or None] in which the list showed it leaving."""
-    return [f"{r['replica']} got {r['request']} {r['at'] - since:.2f} s after it was shown leaving"
-            for r in arrivals(ledger) for since, until in shown.get(r["replica"], ())
-            if r["at"] > since + GAP_LEAVE + grace and (until is None or r["at"] < until)]
+    return [
+        f"{r['replica']} got {r['request']} {r['at'] - since:.2f} s after it was shown leaving"
+        for r in arrivals(ledger)
+        for since, until in shown.get(r["replica"], ())
+        if r["at"] > since + GAP_LEAVE + grace and (until is None or r["at"] < until)
+    ]
 
 
 def orders_fenced(ledger, grace=GRACE):
@@ -182,14 +196,23 @@
     """Every export is taken away again: freed, gone with its engine or, where a router was lost, lapsed."""
     out = {(r["send"], r["engine"]) for r in ledger if r["kind"] == "free" or lapse and r["kind"] == "lapse"}
     alive = {r["replica"]: r.get("engine") for r in ledger if r["kind"] in ("start", "gone")}
-    return [f"{r['request']} is still held at {r['replica']}" for r in ledger if r["kind"] == "export"
-            and (r["send"], r["engine"]) not in out and alive.get(r["replica"]) == r["engine"] and r["at"] < upto]
+    return [
+        f"{r['request']} is still held at {r['replica']}"
+        for r in ledger
+        if r["kind"] == "export"
+        and (r["send"], r["engine"]) not in out
+        and alive.get(r["replica"]) == r["engine"]
+        and r["at"] < upto
+    ]
 
 
 def answered_at_once(history, most=4.0):
     """A bounce never comes later than the waits for a place and a lease allow."""
-    return [f"{r['id']} was bounced after {r['done'] - r['sent']:.2f} s" for r in history
-            if r["status"] == 503 and r["done"] - r["sent"] > most]
+    return [
+        f"{r['id']} was bounced after {r['done'] - r['sent']:.2f} s"
+        for r in history
+        if r["status"] == 503 and r["done"] - r["sent"] > most
+    ]
 
 
 def nothing_dropped(history, ledger, hits, places, keepers=()):
@@ -206,6 +229,7 @@
 
     def met(name, row):
         return any(since <= row["done"] and until >= row["sent"] for since, until in hits.get(name, ()))
+
     found = []
     for row in history:
         if row["end"] not in ("lost", "broken") and row["verdict"] != "may_have_run":
@@ -218,7 +242,9 @@
 
 def nothing_bounced(history):
     """Where only planned things happen at the usual load: no 503 but a stopping router's."""
-    return [f"{r['id']} was bounced: {r['error']}" for r in history if r["status"] == 503 and "stopping" not in r["error"]]
+    return [
+        f"{r['id']} was bounced: {r['error']}" for r in history if r["status"] == 503 and "stopping" not in r["error"]
+    ]
 
 
 def none_starved(history, rushing, share=0.95):
@@ -233,8 +259,10 @@
 
 def all_rules(history, ledger, writes, shown, final, refused=(), grace=GRACE):
     table = {
-        "never twice": never_twice(history, ledger), "bounced never ran": bounced_never_ran(history, ledger),
-        "whole and own": whole_and_own(history, ledger), "own memory": own_memory(history, ledger),
+        "never twice": never_twice(history, ledger),
+        "bounced never ran": bounced_never_ran(history, ledger),
+        "whole and own": whole_and_own(history, ledger),
+        "own memory": own_memory(history, ledger),
         "new after ack": new_after_ack(history, ledger, writes, grace),
         "no fall back": no_fall_back(history, ledger, grace),
         "leaving": leaving_left_alone(ledger, shown, grace),
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -23,7 +23,7 @@
 import tools.simulator.fleet as sim
 
 RATES = {"pairing": 60.0, "split": 28.0, "fairness": 30.0, "gap": 12.0, "scale": 1.0}
-SITES = 12      # sites with a shared prefix of their own, for the pairing policies
+SITES = 12  # sites with a shared prefix of their own, for the pairing policies
 LONG_PROMPTS = {"summary": (1.0, 6000, 2048, 8, False, True)}
 LONG_ANSWERS = {"question": (1.0, 200, 256, 90, False, True)}
 
@@ -59,9 +59,13 @@
         if rs[-1]["end"] == "whole":
             first.append(rs[-1]["first"] - rs[0]["sent"])
             good += rs[-1]["done"] - rs[0]["sent"] <= limit
-    return {"asked": len(by), "in_time": round(good / max(1, len(by)), 4),
-            "first_p50": round(fleet_run.middle(first, .5), 4), "first_p95": round(fleet_run.middle(first, .95), 4),
-            "bounces": sum(r["status"] == 503 for r in rows)}
+    return {
+        "asked": len(by),
+        "in_time": round(good / max(1, len(by)), 4),
+        "first_p50": round(fleet_run.middle(first, 0.5), 4),
+        "first_p95": round(fleet_run.middle(first, 0.95), 4),
+        "bounces": sum(r["status"] == 503 for r in rows),
+    }
 
 
 def show(name, said):
@@ -76,7 +80,10 @@
         f = play(args.seed, calls, body, args.seconds, args.deployment)
         read = [r for r in f.ledger if r["kind"] == "prefilled"]
         start = {r["run"]: r["at"] for r in f.ledger if r["kind"] == "run"}
-        table[policy] = {**figures(f.rows), "prefill_mean": round(sum(r["at"] - start[r["run"]] for r in read) / max(1, len(read)), 4)}
+        table[policy] = {
+            **figures(f.rows),
+            "prefill_mean": round(sum(r["at"] - start[r["run"]] for r in read) / max(1, len(read)), 4),
+        }
         show(policy, table[policy])
     return table
 
@@ -101,7 +108,10 @@
     rush = callers.traffic(f"{args.seed}-rush", tenants[:1], 10 * args.rate / len(tenants), args.seconds)
     for name, many in (("no rush", calls), (f"{tenants[0]} ten-fold", sorted(quiet + own + rush, key=lambda c: c[0]))):
         f = play(args.seed, many, real_fleet.document(args.deployment), args.seconds, args.deployment)
-        for who, test in (("others", lambda r: r["tenant"] != tenants[0]), (tenants[0], lambda r: r["tenant"] == tenants[0])):
+        for who, test in (
+            ("others", lambda r: r["tenant"] != tenants[0]),
+            (tenants[0], lambda r: r["tenant"] == tenants[0]),
+        ):
             table[f"{name}: {who}"] = figures([r for r in f.rows if test(r)])
             show(f"{name}: {who}", table[f"{name}: {who}"])
     return table
@@ -136,10 +146,13 @@
             if f.loop.time > began + 60:
                 raise RuntimeError("the second document did not reach every router")
         known = sum(len(p.gossip.view) for p in parts) / routers
-        table[routers] = {"ready_s": round(began - 1000.0, 2), "view_mean": round(known, 1),
-                          "unknown_to_all": sum(f.settings[n]["address"] not in seen for n in f.names("route")),
-                          "records_per_node_s": round(rate, 1),
-                          "delivered_after_ack_s": round(f.loop.time - f.writes[-1]["acked"], 3)}
+        table[routers] = {
+            "ready_s": round(began - 1000.0, 2),
+            "view_mean": round(known, 1),
+            "unknown_to_all": sum(f.settings[n]["address"] not in seen for n in f.names("route")),
+            "records_per_node_s": round(rate, 1),
+            "delivered_after_ack_s": round(f.loop.time - f.writes[-1]["acked"], 3),
+        }
         show(f"{routers} routers", table[routers])
     return table
 
@@ -169,8 +182,13 @@
         if args.traffic:
             calls = [(at, call) for at, call in json.loads(pathlib.Path(args.traffic).read_text())]
         else:
-            calls = swing(args) if args.what == "split" else callers.traffic(
-                args.seed, tenants, args.rate, args.seconds, sites=SITES if args.what == "pairing" else 1)
+            calls = (
+                swing(args)
+                if args.what == "split"
+                else callers.traffic(
+                    args.seed, tenants, args.rate, args.seconds, sites=SITES if args.what == "pairing" else 1
+                )
+            )
     except (OSError, ValueError, TypeError) as e:
         parser.error(f"--traffic: {args.traffic}: {e}")
     if args.record:
--- a/tools/proof_table.py
+++ b/tools/proof_table.py
@@ -16,31 +16,58 @@
 import tools.weight as weight
 
 FAILS = {
-    "crowds": ["crowd", "tenant_rush"], "traffic swings": ["traffic_swing"],
+    "crowds": ["crowd", "tenant_rush"],
+    "traffic swings": ["traffic_swing"],
     "replicas crash": ["replica_crash", "prefill_dies_holding", "replica_answers_broken"],
-    "replicas go dark": ["replica_dark"], "replicas lost for good": ["replica_lost"],
-    "services replaced": ["rolling_replacement", "service_renamed", "small_pool_renamed", "leaving"], "one process killed": ["kill_router", "kill_owner", "order_owner_killed"],
-    "many killed": ["kill_many", "kill_all"], "machines freeze": ["freeze_router", "freeze_in_connect", "freeze_in_write", "freeze_owner", "frozen_owner_with_company"],
-    "core machine back empty elsewhere": ["keeper_back_empty_elsewhere"], "control machines swapped": ["keepers_swapped"],
-    "disks slow, stall": ["disk_slow", "disk_stalls"], "disks fill, fail": ["disk_full", "disk_sync_fails", "torn_tail"],
+    "replicas go dark": ["replica_dark"],
+    "replicas lost for good": ["replica_lost"],
+    "services replaced": ["rolling_replacement", "service_renamed", "small_pool_renamed", "leaving"],
+    "one process killed": ["kill_router", "kill_owner", "order_owner_killed"],
+    "many killed": ["kill_many", "kill_all"],
+    "machines freeze": [
+        "freeze_router",
+        "freeze_in_connect",
+        "freeze_in_write",
+        "freeze_owner",
+        "frozen_owner_with_company",
+    ],
+    "core machine back empty elsewhere": ["keeper_back_empty_elsewhere"],
+    "control machines swapped": ["keepers_swapped"],
+    "disks slow, stall": ["disk_slow", "disk_stalls"],
+    "disks fill, fail": ["disk_full", "disk_sync_fails", "torn_tail"],
     "disks wiped after acknowledging": ["wiped_after_acknowledgement", "wiped_and_cut"],
-    "clocks jump, run apart": ["test_clocks", "clocks_run_apart"], "core cut in two": ["core_cut", "owner_cut_off",
-                                                                          "cut_after_staging", "owner_dies_staging", "router_loses_keepers"],
-    "one machine cut off": ["one_cut_off", "one_way_cut"], "links slow": ["slow_links"],
-    "held memory lapses": ["memory_lapses"], "configurations storm, race": ["configuration_storm", "configuration_race"],
-    "planned stops": ["polite_stops", "calm", "list_down"], "closing fault": ["closing_" + end for end in ("kill_owner", "kill_keepers", "freeze", "cut", "full_disk", "failing_sync",
-                                                  "stall", "wipe", "race")],
-    "anything at once": ["anything"], "lists lag apart": ["router_cut_from_list", "lists_lag_apart", "freeze_over_leaving"],
+    "clocks jump, run apart": ["test_clocks", "clocks_run_apart"],
+    "core cut in two": ["core_cut", "owner_cut_off", "cut_after_staging", "owner_dies_staging", "router_loses_keepers"],
+    "one machine cut off": ["one_cut_off", "one_way_cut"],
+    "links slow": ["slow_links"],
+    "held memory lapses": ["memory_lapses"],
+    "configurations storm, race": ["configuration_storm", "configuration_race"],
+    "planned stops": ["polite_stops", "calm", "list_down"],
+    "closing fault": [
+        "closing_" + end
+        for end in ("kill_owner", "kill_keepers", "freeze", "cut", "full_disk", "failing_sync", "stall", "wipe", "race")
+    ],
+    "anything at once": ["anything"],
+    "lists lag apart": ["router_cut_from_list", "lists_lag_apart", "freeze_over_leaving"],
     "control gone from its seeds": ["routers_restart_after_swap", "all_restart_after_swap", "kill_all_one_elsewhere"],
     "replicas refuse": ["replicas_bounce"],
 }
 NEVER = {
-    "runs twice": "never twice", "refusal that ran": "bounced never ran", "foreign, torn or joined answer": "whole and own",
-    "foreign memory": "own memory", "older after 2 s": "new after ack", "older after 0.25 s": "no fall back",
-    "write lost or refused one kept": "writes kept", "leaving replica": "leaving", "planned drop": "nothing dropped",
-    "extra tries": "few extras", "orders": "orders fenced", "service away": "service returns", "in time": "in time",
+    "runs twice": "never twice",
+    "refusal that ran": "bounced never ran",
+    "foreign, torn or joined answer": "whole and own",
+    "foreign memory": "own memory",
+    "older after 2 s": "new after ack",
+    "older after 0.25 s": "no fall back",
+    "write lost or refused one kept": "writes kept",
+    "leaving replica": "leaving",
+    "planned drop": "nothing dropped",
+    "extra tries": "few extras",
+    "orders": "orders fenced",
+    "service away": "service returns",
+    "in time": "in time",
 }
-NO_END = tuple(FAILS["closing fault"])         # its fault is the day's end: nothing is asked twelve seconds later
+NO_END = tuple(FAILS["closing fault"])  # its fault is the day's end: nothing is asked twelve seconds later
 
 
 def day_weights(job):
--- a/tools/protections.py
+++ b/tools/protections.py
@@ -30,7 +30,7 @@
             try:
                 broken = simulate.one(day or own, seed)[0]
             except RuntimeError:
-                continue        # not even ready: says nothing about the rule
+                continue  # not even ready: says nothing about the rule
         if rule in broken:
             return seed, broken[rule][0]
     return None
@@ -67,8 +67,11 @@
     for name, (patch, day, rule) in ROWS.items():
         found = broken_by(name)
         missed += not found
-        print(f"{'broke' if found else 'HELD '} without '{name}': {rule}, day {day}"
-              + (f", seed {found[0]}: {found[1]}" if found else ""), flush=True)
+        print(
+            f"{'broke' if found else 'HELD '} without '{name}': {rule}, day {day}"
+            + (f", seed {found[0]}: {found[1]}" if found else ""),
+            flush=True,
+        )
     sys.exit(1 if missed else 0)
 
 
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -13,12 +13,12 @@
 import mothshed.common.peers as peers
 import mothshed.common.records as records
 
-LOOK = 0.02         # s; a held pump looks this often whether its cut is healed
+LOOK = 0.02  # s; a held pump looks this often whether its cut is healed
 
 
 class Relays:
     def __init__(self):
-        self.names, self.doors = {}, []     # address -> name of the daemon that tells it
+        self.names, self.doors = {}, []  # address -> name of the daemon that tells it
         self.cuts, self.delay = set(), 0.0
         self.open = True
 
--- a/tools/replica_memory.py
+++ b/tools/replica_memory.py
@@ -12,14 +12,14 @@
 
 import mothshed.common.replica_adapter as replica_adapter
 
-HOLD = 12.0             # s; exported memory nobody took lapses after this
+HOLD = 12.0  # s; exported memory nobody took lapses after this
 SLOTS = {"prefill": 4, "decode": 8, "none": 4}
-QUEUE = 12              # requests that may wait beyond the slots
-READ_SPEED = 24000.0    # prompt characters a second
-WRITE_SPEED = 90.0      # tokens a second for one stream
-OLDER = 0.25            # s; sends under an older sequence are refused this long after a newer one
-WAIT_BEAT = 0.004       # s; a waiting request looks for a slot this often
-CACHE_KEYS = 256        # prefix blocks kept in the cache
+QUEUE = 12  # requests that may wait beyond the slots
+READ_SPEED = 24000.0  # prompt characters a second
+WRITE_SPEED = 90.0  # tokens a second for one stream
+OLDER = 0.25  # s; sends under an older sequence are refused this long after a newer one
+WAIT_BEAT = 0.004  # s; a waiting request looks for a slot this often
+CACHE_KEYS = 256  # prefix blocks kept in the cache
 
 
 def digest_of(prompt):
@@ -50,14 +50,14 @@
         self.engine = f"{name}-{self.token()}"
         self.ledger = ledger or Ledger(ledger_path, name, desk.now)
         self.lock = threading.RLock()
-        self.held = {}                              # request id -> {"blocks", "digest", "born"}
-        self.cache = collections.OrderedDict()      # prefix key -> True
+        self.held = {}  # request id -> {"blocks", "digest", "born"}
+        self.cache = collections.OrderedDict()  # prefix key -> True
         self.running = self.waiting = 0
-        self.callers = {}                           # id of a send -> its user agent's id
-        self.shakes = set()                         # engines handshaken with
+        self.callers = {}  # id of a send -> its user agent's id
+        self.shakes = set()  # engines handshaken with
         self.standing, self.holder = 0, ""
-        self.newest = (0, 0.0)                      # newest sequence seen, and when first
-        self.fault = {}                             # what the tests make go wrong
+        self.newest = (0, 0.0)  # newest sequence seen, and when first
+        self.fault = {}  # what the tests make go wrong
         self.hold = HOLD
         self.ledger.add("start", engine=self.engine)
 
@@ -108,7 +108,10 @@
 
     def export(self, request, prompt):
         with self.lock:
-            blocks = [self.desk.random.getrandbits(20) for _ in range(1 + len(prompt) // replica_adapter.constants.CACHE_BLOCK)]
+            blocks = [
+                self.desk.random.getrandbits(20)
+                for _ in range(1 + len(prompt) // replica_adapter.constants.CACHE_BLOCK)
+            ]
             self.held[request] = {"blocks": blocks, "digest": digest_of(prompt), "born": self.desk.now()}
         self.note("export", request)
         return blocks
@@ -155,6 +158,14 @@
         self.lapse()
         with self.lock:
             keys = list(self.cache)
-            return {"name": self.name, "engine_id": self.engine, "role": self.role, "running": self.running,
-                    "waiting": self.waiting, "slots": self.slots(), "held": len(self.held), "cache": keys,
-                    "standing": self.standing}
+            return {
+                "name": self.name,
+                "engine_id": self.engine,
+                "role": self.role,
+                "running": self.running,
+                "waiting": self.waiting,
+                "slots": self.slots(),
+                "held": len(self.held),
+                "cache": keys,
+                "standing": self.standing,
+            }
--- a/tools/runbook.py
+++ b/tools/runbook.py
@@ -20,18 +20,27 @@
 import tools.runbook_verbs as verbs
 
 FOLDER = pathlib.Path(__file__).parent / "runbooks"
-PAUSE = 0.2     # s between two tries of a check with patience
+PAUSE = 0.2  # s between two tries of a check with patience
 WITH = voluptuous.Any({}, {str: voluptuous.Any(str, int)})
-STEP = voluptuous.All({
-    voluptuous.Exclusive("check", "verb"): voluptuous.In(sorted(verbs.CHECKS)),
-    voluptuous.Exclusive("do", "verb"): voluptuous.In(sorted(verbs.DEEDS)),
-    voluptuous.Exclusive("ask", "verb"): str,
-    voluptuous.Optional("with", default={}): WITH,
-    voluptuous.Optional("within"): voluptuous.All(int, voluptuous.Range(min=1, max=600)),
-}, voluptuous.Length(min=1))
-BOOK = voluptuous.Schema({
-    "purpose": str, "needs": voluptuous.Any({}, {str: str}), "before": [STEP], "steps": voluptuous.All([STEP], voluptuous.Length(min=1)),
-}, required=True)
+STEP = voluptuous.All(
+    {
+        voluptuous.Exclusive("check", "verb"): voluptuous.In(sorted(verbs.CHECKS)),
+        voluptuous.Exclusive("do", "verb"): voluptuous.In(sorted(verbs.DEEDS)),
+        voluptuous.Exclusive("ask", "verb"): str,
+        voluptuous.Optional("with", default={}): WITH,
+        voluptuous.Optional("within"): voluptuous.All(int, voluptuous.Range(min=1, max=600)),
+    },
+    voluptuous.Length(min=1),
+)
+BOOK = voluptuous.Schema(
+    {
+        "purpose": str,
+        "needs": voluptuous.Any({}, {str: str}),
+        "before": [STEP],
+        "steps": voluptuous.All([STEP], voluptuous.Length(min=1)),
+    },
+    required=True,
+)
 
 
 class BookFault(Exception):
@@ -54,7 +63,9 @@
     try:
         book = BOOK(book)
     except voluptuous.MultipleInvalid as many:
-        raise BookFault("; ".join(f"{path.name}: {configuration.path_of(e)}: {e.error_message}" for e in many.errors)) from many
+        raise BookFault(
+            "; ".join(f"{path.name}: {configuration.path_of(e)}: {e.error_message}" for e in many.errors)
+        ) from many
     for place in ("before", "steps"):
         for at, step in enumerate(book[place]):
             inspect_step(path.name, f"{place}.{at}", step, book["needs"])
--- a/tools/service.py
+++ b/tools/service.py
@@ -10,21 +10,28 @@
 
 import tools.judge as judge
 
-FIRST = 1.0                                     # s; the brief: begin within about a second
-WHOLE = collections.defaultdict(lambda: 8.0, flag=2.5)      # s; and be whole within this
-CALM = 0.97                                     # share in time while nothing is wrong
-FLOOR = 0.93                                    # and on a day with a fault, unless FLOORS says otherwise
-SMALL = 0.8                                     # the same on a fleet of three routers
+FIRST = 1.0  # s; the brief: begin within about a second
+WHOLE = collections.defaultdict(lambda: 8.0, flag=2.5)  # s; and be whole within this
+CALM = 0.97  # share in time while nothing is wrong
+FLOOR = 0.93  # and on a day with a fault, unless FLOORS says otherwise
+SMALL = 0.8  # the same on a fleet of three routers
 FLOORS = {
     **dict.fromkeys(("calm", "polite_stops", "leaving", "list_down", "configuration_storm", "crowd"), CALM),
-    "kill_all": 0.8,                    # nobody serves for two of its seconds
-    "wiped_and_cut": 0.6,               # no majority for eight
-    "replica_answers_broken": 0.65, "replicas_bounce": 0.65,    # five seconds in which no answer can be whole
-    "tenant_rush": 0.3,                 # asked for several times what the replicas can do
-    "kill_all_one_elsewhere": 0.8, "small_pool_renamed": 0.6, "all_restart_after_swap": 0.2,      # everything is down for half of it
-    "anything": 0.8, "clocks_run_apart": 0.8, "disk_stalls": 0.85, "wiped_after_acknowledgement": 0.85,
-    "torn_tail": 0.8,                   # all keepers die within a second
-    "configuration_race": 0.85, "owner_dies_staging": 0.85,     # an owner dies amid a change: leases are short
+    "kill_all": 0.8,  # nobody serves for two of its seconds
+    "wiped_and_cut": 0.6,  # no majority for eight
+    "replica_answers_broken": 0.65,
+    "replicas_bounce": 0.65,  # five seconds in which no answer can be whole
+    "tenant_rush": 0.3,  # asked for several times what the replicas can do
+    "kill_all_one_elsewhere": 0.8,
+    "small_pool_renamed": 0.6,
+    "all_restart_after_swap": 0.2,  # everything is down for half of it
+    "anything": 0.8,
+    "clocks_run_apart": 0.8,
+    "disk_stalls": 0.85,
+    "wiped_after_acknowledgement": 0.85,
+    "torn_tail": 0.8,  # all keepers die within a second
+    "configuration_race": 0.85,
+    "owner_dies_staging": 0.85,  # an owner dies amid a change: leases are short
 }
 
 
--- a/tools/service_table.py
+++ b/tools/service_table.py
@@ -9,6 +9,7 @@
 import tools.simulate as simulate
 import tools.simulator.days as days
 
+
 def main():
     seeds, count = simulate.seeds_and_jobs("service per day and kind of request", "1-3")
     print("| day | deployment | kind | asked | served | begun in 1 s | in time |\n|---|---|---|---|---|---|---|")
@@ -19,8 +20,12 @@
             sums[kind] = [a + b for a, b in zip(sums[kind], row)]
         if seed == seeds[-1]:
             for kind, (asked, *rest) in sorted(sums.items()):
-                print(f"| {name} | {deployment} | {kind} | {asked} | "
-                      + " | ".join(f"{100 * n / asked:.1f} %" for n in rest) + " |", flush=True)
+                print(
+                    f"| {name} | {deployment} | {kind} | {asked} | "
+                    + " | ".join(f"{100 * n / asked:.1f} %" for n in rest)
+                    + " |",
+                    flush=True,
+                )
             sums.clear()
 
 
--- a/tools/simulate.py
+++ b/tools/simulate.py
@@ -16,16 +16,18 @@
 import tools.simulator.end_of_day as end_of_day
 import tools.simulator.fleet as fleet
 
-BACK = 12.0         # s; service returns within this after the machines are back
-GENTLE = ("calm", "polite_stops", "configuration_storm", "leaving", "list_down")    # only planned things
-LENGTH = 20.0       # s; least length of a day's load
-START = 12.0        # s; the brief: traffic begins about this long after the machines start
-RATE = 8.0          # requests a second
+BACK = 12.0  # s; service returns within this after the machines are back
+GENTLE = ("calm", "polite_stops", "configuration_storm", "leaving", "list_down")  # only planned things
+LENGTH = 20.0  # s; least length of a day's load
+START = 12.0  # s; the brief: traffic begins about this long after the machines start
+RATE = 8.0  # requests a second
 
 
 def shape_of(deployment, size):
     plan = fleet.real_fleet.DEPLOYMENTS[deployment]
-    return {"routers": plan["machines"], "replicas": plan["replicas"], "keepers": plan["disks"]} if size == "brief" else {}
+    return (
+        {"routers": plan["machines"], "replicas": plan["replicas"], "keepers": plan["disks"]} if size == "brief" else {}
+    )
 
 
 def one(name, seed, deployment="patinetes", size="small", **shape):
@@ -44,13 +46,18 @@
     f.run(length + 2)
     broken = end_of_day.close(f)
     broken["nothing dropped"] = judge.nothing_dropped(
-        f.rows, f.ledger, {n: m.hits for n, m in f.machines.items()},
-        {s["http"]: n for n, s in f.settings.items() if n.startswith("route")}, f.names("keep"))
+        f.rows,
+        f.ledger,
+        {n: m.hits for n, m in f.machines.items()},
+        {s["http"]: n for n, s in f.settings.items() if n.startswith("route")},
+        f.names("keep"),
+    )
     if name in GENTLE:
         broken["nothing bounced"] = judge.nothing_bounced(f.rows)
     broken["pool whole"] = end_of_day.pool_whole(f)
-    broken["in time"] = service.in_time(f.rows, service.floor(name, size),
-                                        None if back is None else start + back + BACK)
+    broken["in time"] = service.in_time(
+        f.rows, service.floor(name, size), None if back is None else start + back + BACK
+    )
     if name == "tenant_rush":
         broken["none starved"] = judge.none_starved(f.rows, f.plan["tenants"][0])
     broken = {rule: found for rule, found in broken.items() if found}
@@ -67,8 +74,11 @@
     for row in rows:
         if row["sent"] >= since:
             by.setdefault(row["id"], []).append(row)
-    return [f"{name} at {rs[-1]['sent']:.2f}: {rs[-1]['end']} {rs[-1]['status']} {rs[-1].get('error', '')}"
-            for name, rs in by.items() if rs[-1]["end"] != "whole"]
+    return [
+        f"{name} at {rs[-1]['sent']:.2f}: {rs[-1]['end']} {rs[-1]['status']} {rs[-1].get('error', '')}"
+        for name, rs in by.items()
+        if rs[-1]["end"] != "whole"
+    ]
 
 
 def seeds_of(text):
@@ -129,11 +139,14 @@
     seeds = checked_seeds(parser, args)
     bad, failed = 0, 0
     for (name, seed, deployment, size), broken in many(
-            [(n, s, args.deployment, args.size) for n in names for s in seeds], args.jobs):
+        [(n, s, args.deployment, args.size) for n in names for s in seeds], args.jobs
+    ):
         if broken:
             failed += 1
-            print(f"FAILED {name} seed {seed}: python -m tools.simulate --day {name} --seeds {seed}"
-                  f" --deployment {deployment} --size {size}")
+            print(
+                f"FAILED {name} seed {seed}: python -m tools.simulate --day {name} --seeds {seed}"
+                f" --deployment {deployment} --size {size}"
+            )
             for rule, found in broken.items():
                 print(f"    {rule}: {len(found)}, first: {found[0]}")
         if seed == seeds[-1]:
--- a/tools/simulator/day_base.py
+++ b/tools/simulator/day_base.py
@@ -24,11 +24,16 @@
     def show(state):
         if name in f.list.past[-1][1]:
             f.list.change(name, {"state": state})
+
     f.later(at, lambda: show("leaving"))
     f.later(at + 5, lambda: show("ready"))
     call = {**callers.make(f.seed, "bad", ["nobody"]), "tenant": "nobody"}
-    f.later(5, lambda: f.operator(lambda: f.rows.append(
-        callers.send(f.ops, f.random.choice(f.http("route")), f.plan["model"], call))))
+    f.later(
+        5,
+        lambda: f.operator(
+            lambda: f.rows.append(callers.send(f.ops, f.random.choice(f.http("route")), f.plan["model"], call))
+        ),
+    )
 
 
 def lapse(f):
@@ -48,11 +53,13 @@
 
 def freeze_at(f, hook, at=3, span=3.5):
     """At the network's next such moment of a router's send it freezes, and the configuration changes meanwhile."""
+
     def seen(machine, path):
         if machine.name.startswith("route") and path.startswith("v1/"):
             setattr(f.net, hook, lambda machine, path: None)
             machine.freeze(span)
             f.operator(lambda: f.apply("behind-its-back"))
+
     f.later(at, lambda: setattr(f.net, hook, seen))
 
 
@@ -60,6 +67,7 @@
     def run():
         name = f.owner(part) or f.random.choice(f.names("keep"))
         act(name)
+
     f.later(at, run)
 
 
@@ -71,4 +79,5 @@
     def act(name):
         f.kill(name)
         f.later(back, lambda: f.start(name))
+
     return act
--- a/tools/simulator/days_of_cuts.py
+++ b/tools/simulator/days_of_cuts.py
@@ -26,6 +26,7 @@
             f.net.split([name], f.names("keep"))
         else:
             f.later(0.0001, watch)
+
     f.later(3, watch)
     base.write(f, 3, "staged-then-cut")
     f.later(7, f.net.heal)
@@ -53,6 +54,7 @@
             base.kill_and_back(f, 3.0)(owner)
         else:
             f.later(0.0001, watch)
+
     f.later(2.2, leased)
     f.later(8, f.net.heal)
     return 8
@@ -67,6 +69,7 @@
     def act(owner):
         f.machines[owner].freeze(span)
         f.net.split([name, owner], [k for k in f.names("keep") if k != owner])
+
     base.on_owner(f, 3, act)
     for n in range(5):
         base.write(f, 4.4 + 0.1 * n, f"behind-its-back-{n}")
@@ -118,7 +121,9 @@
 def one_way_cut(f):
     name = f.random.choice(f.names("keep") + f.names("route"))
     inward = f.random.random() < 0.5
-    return cut_one(f, name, lambda others: [f.net.cut(*((o, name) if inward else (name, o)), both=False) for o in others])
+    return cut_one(
+        f, name, lambda others: [f.net.cut(*((o, name) if inward else (name, o)), both=False) for o in others]
+    )
 
 
 @base.day
@@ -134,6 +139,7 @@
         base = max(w["sequence"] for w in f.writes)
         for who in "abc":
             f.operator(lambda who=who: f.apply(f"race-{n}-{who}", base))
+
     for n in range(4):
         f.later(3 + n, lambda n=n: race(n))
     base.on_owner(f, 4.0 + 0.01 * f.random.random(), base.kill_and_back(f))
--- a/tools/simulator/days_of_disks.py
+++ b/tools/simulator/days_of_disks.py
@@ -9,6 +9,7 @@
     def act(name):
         box.append(name)
         hurt(f.disks[name])
+
     base.on_owner(f, 3, act)
     for n in range(8):
         base.write(f, 2.95 + n * 0.5, f"disk-{n}")
@@ -50,6 +51,7 @@
             f.later(1.5, lambda: f.start(name))
         else:
             f.later(0.005, watch)
+
     base.write(f, 3, "then-wiped")
     f.later(3, watch)
     base.write(f, 12, "later")
@@ -79,8 +81,9 @@
     def slow_one():
         owner = f.owner() or "keep-1"
         late = f.random.choice([n for n in f.names("keep") if n != owner])
-        f.net.cut(owner, late)              # it misses the write
+        f.net.cut(owner, late)  # it misses the write
         f.operator(lambda: f.apply("then-wiped"))
+
     f.later(3, slow_one)
     f.later(3, watch)
     return 12
@@ -102,6 +105,7 @@
         f.wipe(name)
         f.move(name, "10.1.9.9:70")
         f.later(1.5, lambda: f.start(name))
+
     base.on_owner(f, 3, act)
     base.write(f, 4, "while-gone")
     base.write(f, 14, "after")
--- a/tools/simulator/days_of_ends.py
+++ b/tools/simulator/days_of_ends.py
@@ -2,15 +2,17 @@
 
 import tools.simulator.day_base as base
 
-WRITE, HIT = 19.0, 19.02        # s; the last write, and the fault within 0.1 s after it
+WRITE, HIT = 19.0, 19.02  # s; the last write, and the fault within 0.1 s after it
 
 
 def closing(name, act):
     """A day whose last write meets act(f, owner), within the time a write takes or right after."""
+
     def run(f):
         base.write(f, WRITE, "last")
         base.on_owner(f, HIT + 0.1 * f.random.random(), lambda owner: act(f, owner))
         return None
+
     run.__name__ = "closing_" + name
     run.__doc__ = act.__doc__
     base.day(run)
--- a/tools/simulator/days_of_machines.py
+++ b/tools/simulator/days_of_machines.py
@@ -20,6 +20,7 @@
             base.bounce_machine(f, name, 0)
         else:
             f.later(0.002, watch)
+
     f.later(3 + f.random.random(), watch)
     return 9
 
@@ -84,9 +85,10 @@
 def stop_router(f, name):
     def run():
         f.parts[name].drain(15.0)
-        f.net.apps.pop(f.settings[name]["http"])        # the server closes its door, then ends its answers
+        f.net.apps.pop(f.settings[name]["http"])  # the server closes its door, then ends its answers
         f.later(0.05, lambda: f.kill(name, planned=True))
         f.later(1.0, lambda: f.start(name))
+
     f.loop.spawn(f.machines[name], run)
 
 
@@ -95,6 +97,7 @@
         f.parts[name].drain()
         f.later(0.0, lambda: f.kill(name, planned=True))
         f.later(1.0, lambda: f.start(name))
+
     f.loop.spawn(f.machines[name], run)
 
 
--- a/tools/simulator/days_of_replicas.py
+++ b/tools/simulator/days_of_replicas.py
@@ -30,8 +30,13 @@
 def rolling_replacement(f):
     for number, name in enumerate(f.names("replica")):
         at = 2 + 5 * number
-        f.later(at, lambda n=name, k=number: (f.add_replica("replica-new-" + n, 20 + k),
-                                              f.list.change(n, {"name": n, "state": "leaving"})))
+        f.later(
+            at,
+            lambda n=name, k=number: (
+                f.add_replica("replica-new-" + n, 20 + k),
+                f.list.change(n, {"name": n, "state": "leaving"}),
+            ),
+        )
         f.later(at + 4.5, lambda n=name: (f.kill(n, planned=True), f.list.change(n, None)))
     return 2 + 5 * len(f.names("replica"))
 
@@ -44,6 +49,7 @@
             name = f.random.choice(holding)
             f.kill(name)
             f.later(2, lambda: f.start(name))
+
     for _ in range(40):
         f.later(3 + 4 * f.random.random(), lambda: f.random.random() < 0.08 and act())
     return 10
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -82,7 +82,7 @@
 
     def __init__(self, loop, machine):
         self.loop, self.machine = loop, machine
-        self.kept, self.late = {}, {}       # name -> bytes synced / not yet
+        self.kept, self.late = {}, {}  # name -> bytes synced / not yet
         self.full = self.sync_fails = False
         self.delay = 0.0
 
@@ -94,7 +94,7 @@
 
     def wait(self):
         if self.sync_fails:
-            self.crash()                # what the system still held of it is lost, in part
+            self.crash()  # what the system still held of it is lost, in part
             raise disk_module.DiskFault("sync fails")
         if self.delay:
             self.machine.freeze(self.delay)
@@ -122,7 +122,7 @@
 
     def crash(self):
         for name, data in self.late.items():
-            part = data[:self.loop.random.randrange(len(data) + 1)]
+            part = data[: self.loop.random.randrange(len(data) + 1)]
             self.kept[name] = self.kept.get(name, b"") + part
         self.late.clear()
 
--- a/tools/simulator/end_of_day.py
+++ b/tools/simulator/end_of_day.py
@@ -21,11 +21,13 @@
 
 def watch_pool(f, beat=0.25):
     """Notes each moment in which the listed, living replicas have no prefill or no decode among them."""
+
     def look():
         listed = [n for n, row in f.list.past[-1][1].items() if row["state"] == "ready" and f.machines[n].alive]
         roles = collections.Counter(f.parts[n].role for n in listed)
         f.roles.append((f.loop.time, len(listed) < 2 or bool(roles["prefill"] and roles["decode"])))
         f.later(beat, look)
+
     look()
 
 
@@ -42,7 +44,7 @@
 def close(f, rest=3.0):
     """Lets everything come to rest, reads the configuration back, applies every rule."""
     box = []
-    f.run(8.0)              # the last writes have got their answers: what is read now must hold them
+    f.run(8.0)  # the last writes have got their answers: what is read now must hold them
     f.operator(lambda: box.append(f.ask("GET", "/configuration/history", most=40)))
     f.run(17.0)
     final = box[0][1] if box and box[0][0] == 200 else None
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -31,10 +31,10 @@
         self.machines, self.disks, self.parts, self.settings = {}, {}, {}, {}
         self.ledger, self.rows, self.writes, self.refused, self.unknown = [], [], [], [], []
         self.router_deaths = []
-        self.turn = ""          # set apart the writes of a day that is run again
-        self.spared = []        # replicas that only the day's own faults may take away
-        self.roles = []         # (moment, whether both sides of the pool were there)
-        self.lapse = False      # whether held memory may end by lapsing
+        self.turn = ""  # set apart the writes of a day that is run again
+        self.spared = []  # replicas that only the day's own faults may take away
+        self.roles = []  # (moment, whether both sides of the pool were there)
+        self.lapse = False  # whether held memory may end by lapsing
         self.outside = self.machine("outside")
         self.ops = self.desk(self.outside, "10.0.0.1:1")
         self.list = stand_in_list.PlatformList(lag, lambda: self.loop.time)
@@ -61,9 +61,17 @@
     def add_replica(self, name, at, service=None):
         machine = self.machine(name)
         self.settings[name] = {"http": f"10.3.0.{at + 1}:80"}
-        self.list.change(name, {"name": name, "address": f"10.3.0.{at + 1}:80", "zone": self.cell(at),
-                                "service": service or self.plan["model"], "labels": {"app": self.plan["model"]},
-                                "state": "ready"})
+        self.list.change(
+            name,
+            {
+                "name": name,
+                "address": f"10.3.0.{at + 1}:80",
+                "zone": self.cell(at),
+                "service": service or self.plan["model"],
+                "labels": {"app": self.plan["model"]},
+                "state": "ready",
+            },
+        )
         self.boot_replica(name, machine)
 
     def ledger_of(self, name):
@@ -80,9 +88,16 @@
 
     def place(self, name, address, at, **more):
         host = address.rsplit(":", 1)[0]
-        self.settings[name] = {"name": name, "address": address, "http": f"{host}:80", "cell": self.cell(at),
-                               "seeds": list(self.seeds), "first_keepers": list(self.seeds),
-                               "list_url": "http://10.0.0.2:80/replicas", **more}
+        self.settings[name] = {
+            "name": name,
+            "address": address,
+            "http": f"{host}:80",
+            "cell": self.cell(at),
+            "seeds": list(self.seeds),
+            "first_keepers": list(self.seeds),
+            "list_url": "http://10.0.0.2:80/replicas",
+            **more,
+        }
 
     def add_keeper(self, name, at, address):
         self.disks[name] = desk_module.SimDisk(self.loop, self.machine(name))
@@ -97,6 +112,7 @@
         def make():
             label[0] += 1
             return self.desk(machine, settings["address"], label[0])
+
         mark = lambda n: f"{self.loop.random.getrandbits(8 * n):x}"
         keeper = keeper_module.Keeper(make(), settings, make, disk, mark)
         keeper.run()
@@ -207,7 +223,9 @@
                 return
             base = said["latest"]
         body = body or real_fleet.document(self.deployment, note=mark)
-        status, said = self.ask("PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"}, most)
+        status, said = self.ask(
+            "PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"}, most
+        )
         if status == 200:
             self.writes.append({"id": mark, "sequence": said["sequence"], "acked": self.loop.time, "base": base})
         elif status == 409:
--- a/tools/simulator/loop.py
+++ b/tools/simulator/loop.py
@@ -19,9 +19,9 @@
     def __init__(self, loop, name):
         self.loop, self.name = loop, name
         self.alive, self.epoch, self.frozen_until = True, 0, 0.0
-        self.on_death = []      # callbacks: connections to reset, disks to crash
-        self.clock, self.rate = (0.0, 0.0), 1.0     # own and true time when its rate was set
-        self.hits = []          # spans [from, until] in which something unplanned befell it
+        self.on_death = []  # callbacks: connections to reset, disks to crash
+        self.clock, self.rate = (0.0, 0.0), 1.0  # own and true time when its rate was set
+        self.hits = []  # spans [from, until] in which something unplanned befell it
 
     def hit(self, span=math.inf):
         self.hits.append([self.loop.time, self.loop.time + span])
@@ -62,8 +62,8 @@
         self.random = random.Random(seed)
         self.heap, self.count = [], itertools.count()
         self.hub = greenlet.getcurrent()
-        self.kept = []          # tasks of dead machines: never run again, never collected early
-        self.faults = []        # exceptions that escaped a callback or task
+        self.kept = []  # tasks of dead machines: never run again, never collected early
+        self.faults = []  # exceptions that escaped a callback or task
         self.steps = 0
 
     def at(self, delay, machine, call):
@@ -134,6 +134,7 @@
             if not done:
                 done.append(True)
                 self.loop.at(0.0, self.machine, task.switch)
+
         self.waits.append(wake)
         if timeout is not None:
             self.loop.at(timeout / self.machine.rate, self.machine, wake)
--- a/tools/simulator/network.py
+++ b/tools/simulator/network.py
@@ -13,20 +13,20 @@
 import mothshed.common.records as records
 import mothshed.common.web as web
 
-LOW, SPAN = 0.0003, 0.0012      # s; a local network's delay
+LOW, SPAN = 0.0003, 0.0012  # s; a local network's delay
 
 
 class Network:
     def __init__(self, loop):
         self.loop = loop
-        self.machines = {}      # address -> Machine
-        self.ears = {}          # address -> {(kind, part): call}
-        self.apps = {}          # HTTP address -> (Machine, WSGI app)
-        self.cuts = set()       # (from name, to name)
-        self.last = {}          # (from, to) -> time of the latest delivery
+        self.machines = {}  # address -> Machine
+        self.ears = {}  # address -> {(kind, part): call}
+        self.apps = {}  # HTTP address -> (Machine, WSGI app)
+        self.cuts = set()  # (from name, to name)
+        self.last = {}  # (from, to) -> time of the latest delivery
         self.count = 0
-        self.watch = lambda machine, path: None     # told of each connection about to be made
-        self.written = lambda machine, path: None   # and of each send past its last check
+        self.watch = lambda machine, path: None  # told of each connection about to be made
+        self.written = lambda machine, path: None  # and of each send past its last check
 
     def cut(self, one, other, both=True):
         self.cuts |= {(one, other), (other, one)} if both else {(one, other)}
@@ -69,6 +69,7 @@
             call = ears.get((kind, body.get("part"))) or ears.get((kind, None))
             if call:
                 call(sender, body)
+
         self.loop.at(self.delay(machine, other), other, arrive)
 
 
@@ -91,6 +92,7 @@
             self.pieces.append(piece)
             if self.gate_call:
                 self.gate_call()
+
         self.net.loop.at(self.net.delay(self.server, self.asker), self.asker, arrive)
 
     def reset(self):
@@ -160,8 +162,16 @@
     def __init__(self, net, machine, new_gate):
         self.net, self.machine, self.new_gate = net, machine, new_gate
 
-    def send(self, method, url, body=None, headers=None, connect=constants.CONNECT_TIME, read=constants.STREAM_QUIET,
-             ready=lambda: True):
+    def send(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        connect=constants.CONNECT_TIME,
+        read=constants.STREAM_QUIET,
+        ready=lambda: True,
+    ):
         net, loop, own = self.net, self.net.loop, self.machine
         address, path = url.removeprefix("http://").split("/", 1)
         found = net.apps.get(address)
@@ -181,15 +191,22 @@
         channel, gate = Channel(net, own, other), self.new_gate()
         channel.gate_call = gate.set
         data = b"" if body is None else json.dumps(body).encode()
-        environ = {"PATH_INFO": "/" + path, "REQUEST_METHOD": method, "CONTENT_LENGTH": str(len(data)),
-                   "wsgi.input": io.BytesIO(data), "REMOTE_ADDR": own.name}
+        environ = {
+            "PATH_INFO": "/" + path,
+            "REQUEST_METHOD": method,
+            "CONTENT_LENGTH": str(len(data)),
+            "wsgi.input": io.BytesIO(data),
+            "REMOTE_ADDR": own.name,
+        }
         for name, text in (headers or {}).items():
             environ["HTTP_" + name.upper().replace("-", "_")] = text
         if net.open(own, other):
             loop.at(net.delay(own, other), other, lambda: loop.spawn(other, lambda: self.serve(app, environ, channel)))
             other.on_death.append(channel.reset)
             if len(other.on_death) > 4000:
-                other.on_death = [c for c in other.on_death if not getattr(c, "__self__", None) or not c.__self__.closed]
+                other.on_death = [
+                    c for c in other.on_death if not getattr(c, "__self__", None) or not c.__self__.closed
+                ]
         response = SimResponse(channel, gate, 0, Head(), read)
         kind, data = response.pull()
         status, fields = data
@@ -199,6 +216,7 @@
     def serve(self, app, environ, channel):
         def start(status, headers):
             channel.push(("head", (status, headers)))
+
         rows = None
         try:
             rows = app(environ, start)
@@ -207,7 +225,7 @@
             channel.push(("end", None))
         except BrokenPipeError:
             pass
-        except Exception:       # a server closes the connection without the end
+        except Exception:  # a server closes the connection without the end
             channel.reset()
         finally:
             if hasattr(rows, "close"):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,11 +23,28 @@
 import tools.simulator.days as days
 import tools.simulator.end_of_day as end_of_day
 
-FAULTS = ("kill_router", "kill_owner", "freeze_router", "freeze_owner", "replica_crash", "replica_dark", "core_cut",
-          "one_way_cut", "router_loses_keepers", "memory_lapses", "slow_links", "configuration_storm", "configuration_race",
-          "wiped_after_acknowledgement", "disk_stalls", "disk_full", "kill_many", "order_owner_killed")
-GAP = 40.0          # s between two faults; each heals within fifteen
-WARM = 0.4          # share of a real run that counts as warming up
+FAULTS = (
+    "kill_router",
+    "kill_owner",
+    "freeze_router",
+    "freeze_owner",
+    "replica_crash",
+    "replica_dark",
+    "core_cut",
+    "one_way_cut",
+    "router_loses_keepers",
+    "memory_lapses",
+    "slow_links",
+    "configuration_storm",
+    "configuration_race",
+    "wiped_after_acknowledgement",
+    "disk_stalls",
+    "disk_full",
+    "kill_many",
+    "order_owner_killed",
+)
+GAP = 40.0  # s between two faults; each heals within fifteen
+WARM = 0.4  # share of a real run that counts as warming up
 
 
 def simulated(job):
@@ -39,19 +56,22 @@
     def hurt():
         name = f.random.choice(FAULTS)
         done.append(name)
-        f.turn = f"/{len(done)}"        # an id used again would be answered as accepted before
+        f.turn = f"/{len(done)}"  # an id used again would be answered as accepted before
         days.DAYS[name](f)
         if len(done) * GAP < minutes * 60:
             f.later(GAP, hurt)
+
     f.later(5, hurt)
     f.load(f.plan["rate"], minutes * 60)
     f.run(minutes * 60 + GAP)
     broken = end_of_day.close(f)
     whole = sum(rows[-1]["end"] == "whole" for rows in judge.asks(f.rows).values())
-    tables = {"kept for neighbours": max(len(f.parts[n].guard.kept) for n in f.names("route")),
-              "frees left": max(f.parts[n].frees.left() for n in f.names("route")),
-              "log entries": max(len(m.log.entries) for n in f.names("keep") for m in f.parts[n].members),
-              "documents": max(len(f.parts[n].members[0].machine.docs) for n in f.names("keep"))}
+    tables = {
+        "kept for neighbours": max(len(f.parts[n].guard.kept) for n in f.names("route")),
+        "frees left": max(f.parts[n].frees.left() for n in f.names("route")),
+        "log entries": max(len(m.log.entries) for n in f.names("keep") for m in f.parts[n].members),
+        "documents": max(len(f.parts[n].members[0].machine.docs) for n in f.names("keep")),
+    }
     return job, broken, (len(done), len(judge.asks(f.rows)), whole, len(f.writes), tables)
 
 
@@ -78,6 +98,7 @@
     def watch(fleet):
         while not stop.wait(seconds / 40):
             samples.append(sample(fleet))
+
     faults = ",".join(f"{at}:config" for at in range(3, int(seconds) - 5, 4))
     folder = tempfile.mkdtemp(prefix="mothshed-soak-")
     begun = lambda fleet: threading.Thread(target=watch, args=(fleet,), daemon=True).start()
@@ -87,7 +108,9 @@
         stop.set()
         shutil.rmtree(folder, ignore_errors=True)
     early, late = samples[int(WARM * len(samples))], samples[-1]
-    print("| daemon | resident KiB, warm | at the end | threads | | open files | | data KiB | |\n|---|---|---|---|---|---|---|---|---|")
+    print(
+        "| daemon | resident KiB, warm | at the end | threads | | open files | | data KiB | |\n|---|---|---|---|---|---|---|---|---|"
+    )
     for name in sorted(late):
         print(f"| {name} | " + " | ".join(f"{a} | {b}" for a, b in zip(early[name], late[name])) + " |")
     return {rule: found for rule, found in rules.items() if found}
@@ -114,8 +137,11 @@
     for job, broken, said in rows:
         if said:
             count, asked, whole, writes, tables = said
-            print(f"{job[2]} seed {job[1]}: {args.minutes:.0f} min, {count} faults, {asked} requests, {whole / asked:.1%} served, "
-                  f"{writes} documents; at the end " + ", ".join(f"{k} {n}" for k, n in tables.items()), flush=True)
+            print(
+                f"{job[2]} seed {job[1]}: {args.minutes:.0f} min, {count} faults, {asked} requests, {whole / asked:.1%} served, "
+                f"{writes} documents; at the end " + ", ".join(f"{k} {n}" for k, n in tables.items()),
+                flush=True,
+            )
         bad += bool(broken)
         for rule, found in broken.items():
             print(f"    BROKEN {rule}: {len(found)}, first: {found[0]}")
--- a/tools/stand_in_list.py
+++ b/tools/stand_in_list.py
@@ -19,9 +19,9 @@
     def __init__(self, lag=0.0, now=world.now):
         self.lag, self.now = lag, now
         self.lock = threading.Lock()
-        self.past = [(now() - 1e6, {})]      # (when, items)
-        self.downs = []         # spans in which it answers nothing
-        self.lags = {}          # reader -> a lag of its own
+        self.past = [(now() - 1e6, {})]  # (when, items)
+        self.downs = []  # spans in which it answers nothing
+        self.lags = {}  # reader -> a lag of its own
 
     def change(self, name, item):
         with self.lock:
--- a/tools/stand_in_replica.py
+++ b/tools/stand_in_replica.py
@@ -27,7 +27,7 @@
 
     def __call__(self, environ, start):
         path, m = environ["PATH_INFO"], self.memory
-        environ["mothshed.arrived"] = self.desk.now()   # a dark replica answers late what reached it early
+        environ["mothshed.arrived"] = self.desk.now()  # a dark replica answers late what reached it early
         dark = m.fault.get("dark_until", 0) - self.desk.now()
         if dark > 0 and path != "/fault":
             self.desk.pause(min(dark, 30))
@@ -40,8 +40,9 @@
             digest = m.pull(body["engine_id"], body["request_id"], body["block_ids"])
             return front.respond(start, 200 if digest else 404, {"digest": digest})
         if path == "/kv/handshake":
-            return front.respond(start, 200, {"engine_id": m.engine, "agent": m.token(),
-                                             "block_len": 256, "base": 4096, "heads": 8})
+            return front.respond(
+                start, 200, {"engine_id": m.engine, "agent": m.token(), "block_len": 256, "base": 4096, "heads": 8}
+            )
         if path == "/kv/free":
             good = m.free(body["engine_id"], body["request_id"])
             return front.respond(start, 200 if good else 404, {"freed": good})
@@ -70,20 +71,31 @@
         return front.respond(start, 200, {})
 
     def bounce(self, start, request, reason, status=503, kind="busy"):
-        return front.respond(start, status, {"error": {"message": reason, "type": kind, "verdict": "not_run"}},
-                            [("X-Request-Id", request)])
+        return front.respond(
+            start,
+            status,
+            {"error": {"message": reason, "type": kind, "verdict": "not_run"}},
+            [("X-Request-Id", request)],
+        )
 
     def complete(self, path, environ, body, start):
         headers = front.headers_of(environ)
         request, m = headers.get("x-request-id", ""), self.memory
-        caller = headers.get("x-caller-request-id", request)    # the books go by the user agent's id
+        caller = headers.get("x-caller-request-id", request)  # the books go by the user agent's id
         m.callers[request] = caller
         sequence = int(headers.get("x-config-sequence", 0))
         kv = body.get("kv_transfer_params") or {}
         role = "prefill" if kv.get("do_remote_decode") else "decode" if kv.get("do_remote_prefill") else ""
         older = m.older(sequence)
-        m.ledger.add("seen", request=caller, send=request, role=role, sequence=sequence, older=older,
-                     at=environ["mothshed.arrived"])
+        m.ledger.add(
+            "seen",
+            request=caller,
+            send=request,
+            role=role,
+            sequence=sequence,
+            older=older,
+            at=environ["mothshed.arrived"],
+        )
         if older:
             return self.bounce(start, request, "a newer configuration was seen here", 409, "older_configuration")
         if not role or role != m.role or m.fault.get("bounce") == role:
@@ -108,22 +120,41 @@
             return self.bounce(start, request, "prefill needs max_tokens=1 and stream=false", 400, "bad_request")
         prompt = self.prompt(path, body)
         run = m.token()
-        m.ledger.add("run", role="prefill", request=m.callers[request], run=run, sequence=sequence, digest=replica_memory.digest_of(prompt))
+        m.ledger.add(
+            "run",
+            role="prefill",
+            request=m.callers[request],
+            run=run,
+            sequence=sequence,
+            digest=replica_memory.digest_of(prompt),
+        )
         self.desk.pause(m.uncached(prompt) / replica_memory.READ_SPEED * m.fault.get("slow", 1))
         blocks = m.export(request, prompt)
         host, port = self.address.rsplit(":", 1)
-        params = {"remote_engine_id": m.engine, "remote_block_ids": blocks, "remote_request_id": request,
-                  "remote_host": host, "remote_port": int(port), "do_remote_prefill": True, "do_remote_decode": False}
+        params = {
+            "remote_engine_id": m.engine,
+            "remote_block_ids": blocks,
+            "remote_request_id": request,
+            "remote_host": host,
+            "remote_port": int(port),
+            "do_remote_prefill": True,
+            "do_remote_decode": False,
+        }
         if m.fault.get("foreign_handle"):
             params["remote_request_id"] = "other-" + request
-        said = {"id": f"cmpl-{request}", "object": "text_completion", "kv_transfer_params": params,
-                "choices": [{"index": 0, "text": "discard-me", "finish_reason": "length"}]}
+        said = {
+            "id": f"cmpl-{request}",
+            "object": "text_completion",
+            "kv_transfer_params": params,
+            "choices": [{"index": 0, "text": "discard-me", "finish_reason": "length"}],
+        }
         if m.fault.get("no_handle"):
             del said["kv_transfer_params"]
         m.ledger.add("prefilled", request=m.callers[request], run=run)
         if m.fault.get("short_body"):
-            start("200 OK", [("Content-Type", "application/json"), ("Content-Length", "5000"),
-                             ("X-Request-Id", request)])
+            start(
+                "200 OK", [("Content-Type", "application/json"), ("Content-Length", "5000"), ("X-Request-Id", request)]
+            )
             return [json.dumps(said).encode()[:40]]
         return front.respond(start, 200, said, [("X-Request-Id", request)])
 
@@ -138,9 +169,16 @@
                     return None
                 m.shakes.add(kv["remote_engine_id"])
                 m.ledger.add("handshake", engine=kv["remote_engine_id"])
-            status, said = self.desk.web.poll("POST", base + "/kv/pull", {
-                "engine_id": kv["remote_engine_id"], "request_id": kv["remote_request_id"],
-                "block_ids": kv["remote_block_ids"]}, read=5.0)
+            status, said = self.desk.web.poll(
+                "POST",
+                base + "/kv/pull",
+                {
+                    "engine_id": kv["remote_engine_id"],
+                    "request_id": kv["remote_request_id"],
+                    "block_ids": kv["remote_block_ids"],
+                },
+                read=5.0,
+            )
             return said["digest"] if status == 200 else None
         except (web.WebFault, KeyError):
             return None
@@ -156,8 +194,15 @@
             m.give_slot()
             return self.bounce(start, request, "held memory is gone", 409, "kv_gone")
         run = m.token()
-        m.ledger.add("run", role="decode", request=m.callers[request], run=run, sequence=sequence, memory=digest,
-                     digest=replica_memory.digest_of(self.prompt(path, body)))
+        m.ledger.add(
+            "run",
+            role="decode",
+            request=m.callers[request],
+            run=run,
+            sequence=sequence,
+            memory=digest,
+            digest=replica_memory.digest_of(self.prompt(path, body)),
+        )
         start("200 OK", [("Content-Type", "text/event-stream"), ("X-Request-Id", request)])
         return Tokens(self, path, request, body, digest, run)
 
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -34,7 +34,7 @@
 def repeat_unsafe(self, e):
     if self.chart.state == "relaying":
         raise verdict.StreamBroken(str(e)) from e
-    if self.desk.now() >= self.request.cutoff:      # or it would go round without end
+    if self.desk.now() >= self.request.cutoff:  # or it would go round without end
         self.end()
 
 
@@ -155,42 +155,108 @@
 
 ROWS = {
     "unsafe requests are not repeated": (put(carry.Carry, may_repeat=repeat_unsafe), "replica_crash", "never twice"),
-    "a bounce needs proof that nothing ran": (put(carry.Carry, note=lambda self, e: self.fails.append(e)),
-                                              "replica_answers_broken", "never twice"),
+    "a bounce needs proof that nothing ran": (
+        put(carry.Carry, note=lambda self, e: self.fails.append(e)),
+        "replica_answers_broken",
+        "never twice",
+    ),
     "a held handle belongs to one request": (put(replica_adapter, prefill=any_handle), "calm", "own memory"),
-    "a stream ends only when whole": (put(replica_adapter.Stream, __iter__=loose_ends), "replica_answers_broken", "whole and own"),
+    "a stream ends only when whole": (
+        put(replica_adapter.Stream, __iter__=loose_ends),
+        "replica_answers_broken",
+        "whole and own",
+    ),
     "the lease is checked before a send": (
-        put(lease.Lease, sequence=lambda self: self.view[0] if self.view[2] else None), "core_cut", "new after ack"),
+        put(lease.Lease, sequence=lambda self: self.view[0] if self.view[2] else None),
+        "core_cut",
+        "new after ack",
+    ),
     "the lease is checked once the connection stands": (
-        put(carry.Carry, ready=lambda self, sequence, role: lambda: True), "freeze_in_connect", "new after ack"),
-    "leases are short during a change": (put(constants, LEASE_SHORT=constants.LEASE_LONG), "cut_after_staging", "no fall back"),
-    "activation waits for the leaseholders": (put(config_part.ConfigDuty, try_activate=activate_at_once),
-                                              "router_loses_keepers", "no fall back"),
-    "a lease answer needs a majority": (put(replication.Replication, confirm=confirm_alone), "frozen_owner_with_company", "new after ack"),
-    "a write needs a majority": (put(replication.Replication, count_commit=count_alone), "owner_cut_off", "writes kept"),
+        put(carry.Carry, ready=lambda self, sequence, role: lambda: True),
+        "freeze_in_connect",
+        "new after ack",
+    ),
+    "leases are short during a change": (
+        put(constants, LEASE_SHORT=constants.LEASE_LONG),
+        "cut_after_staging",
+        "no fall back",
+    ),
+    "activation waits for the leaseholders": (
+        put(config_part.ConfigDuty, try_activate=activate_at_once),
+        "router_loses_keepers",
+        "no fall back",
+    ),
+    "a lease answer needs a majority": (
+        put(replication.Replication, confirm=confirm_alone),
+        "frozen_owner_with_company",
+        "new after ack",
+    ),
+    "a write needs a majority": (
+        put(replication.Replication, count_commit=count_alone),
+        "owner_cut_off",
+        "writes kept",
+    ),
     "a write is synced before it counts": (put(desk.SimDisk, sync=sync_nothing), "kill_all", "writes kept"),
-    "compare-and-set on the sequence": (put(config_part.ConfigMachine, stage=stage_anyway), "configuration_race", "writes kept"),
-    "a wiped member is somebody new": (put(keeper, incarnation=lambda disk, name, chance: f"{name}/same"),
-                                       "wiped_and_cut", "writes kept"),
-    "a standing only rises": (put(service_part.ServiceMachine, apply=take_level), "order_owner_killed", "orders fenced"),
+    "compare-and-set on the sequence": (
+        put(config_part.ConfigMachine, stage=stage_anyway),
+        "configuration_race",
+        "writes kept",
+    ),
+    "a wiped member is somebody new": (
+        put(keeper, incarnation=lambda disk, name, chance: f"{name}/same"),
+        "wiped_and_cut",
+        "writes kept",
+    ),
+    "a standing only rises": (
+        put(service_part.ServiceMachine, apply=take_level),
+        "order_owner_killed",
+        "orders fenced",
+    ),
     "a new holder waits its turn": (put(constants, TURN_GAP=0.1), "order_owner_killed", "orders fenced"),
     "a leaving replica is left alone": (put(replicas.Replicas, take_list=deaf_to_leaving), "leaving", "leaving"),
-    "extra sends have a budget": (put(budget.Budget, extra=lambda self, count=1: True), "replicas_bounce", "few extras"),
+    "extra sends have a budget": (
+        put(budget.Budget, extra=lambda self, count=1: True),
+        "replicas_bounce",
+        "few extras",
+    ),
     "every handle is freed": (put(frees.Frees, order=lambda self, handle: None), "calm", "freed"),
-    "a neighbour keeps a lost router's frees": (put(guard.Guard, owe=lambda self, request, place, left: None),
-                                                "kill_router", "freed"),
-    "a polite stop waits for what is in flight": (put(router.Router, drain=stop_at_once), "polite_stops", "nothing dropped"),
+    "a neighbour keeps a lost router's frees": (
+        put(guard.Guard, owe=lambda self, request, place, left: None),
+        "kill_router",
+        "freed",
+    ),
+    "a polite stop waits for what is in flight": (
+        put(router.Router, drain=stop_at_once),
+        "polite_stops",
+        "nothing dropped",
+    ),
     "tenants are queued fairly": (first_come_first_served, "tenant_rush", "none starved"),
     "a free place is not refused": (put(carry.Carry, admit=bounce_some), "calm", "in time"),
     "given-up requests are answered at once": (put(admission.Admission, enter=bounce_late), "calm", "answered at once"),
-    "newcomers are admitted": (put(joining.Joining, on_join_ask=lambda self, sender, body: None),
-                               "keepers_swapped", "service returns"),
-    "a failed sync ends a member's part": (put(member.Member, fail_disk=lambda self, e: None),
-                                           "disk_sync_fails", "no crash inside"),
-    "a neighbour's newer reading outlasts an older own one": (put(constants, LEAVE_KEEP=0.0), "lists_lag_apart", "leaving"),
-    "keepers call whom they remember": (put(remembered.Remembered, to_call=lambda self, near: []),
-                                        "all_restart_after_swap", "service returns"),
-    "replicas refuse older sends": (put(replica_memory.Memory, older=lambda self, sequence: False),
-                                    "freeze_in_write", "new after ack"),
+    "newcomers are admitted": (
+        put(joining.Joining, on_join_ask=lambda self, sender, body: None),
+        "keepers_swapped",
+        "service returns",
+    ),
+    "a failed sync ends a member's part": (
+        put(member.Member, fail_disk=lambda self, e: None),
+        "disk_sync_fails",
+        "no crash inside",
+    ),
+    "a neighbour's newer reading outlasts an older own one": (
+        put(constants, LEAVE_KEEP=0.0),
+        "lists_lag_apart",
+        "leaving",
+    ),
+    "keepers call whom they remember": (
+        put(remembered.Remembered, to_call=lambda self, near: []),
+        "all_restart_after_swap",
+        "service returns",
+    ),
+    "replicas refuse older sends": (
+        put(replica_memory.Memory, older=lambda self, sequence: False),
+        "freeze_in_write",
+        "new after ack",
+    ),
     "a pool's bounds hold over its parts": (put(orders.OrderDuty, shared=alone), "small_pool_renamed", "pool whole"),
 }
--- a/tools/weight.py
+++ b/tools/weight.py
@@ -20,12 +20,18 @@
         "own memory": len(judge.runs(f.ledger, "decode")),
         "new after ack": sum(any(r["at"] > at + judge.GAP_OLD for at in acked) for r in arrived),
         "no fall back": sum(any(r["at"] > at + judge.GAP_BACK for at in latest[1:]) for r in arrived),
-        "writes kept": len(f.writes) + len(f.refused), "read back": 1,
-        "leaving": sum(any(r["at"] > since + judge.GAP_LEAVE for spans in f.list.history().values() for since, until in spans)
-                       for r in arrived),
-        "nothing dropped": len(asked), "few extras": len(arrived),
+        "writes kept": len(f.writes) + len(f.refused),
+        "read back": 1,
+        "leaving": sum(
+            any(r["at"] > since + judge.GAP_LEAVE for spans in f.list.history().values() for since, until in spans)
+            for r in arrived
+        ),
+        "nothing dropped": len(asked),
+        "few extras": len(arrived),
         "orders fenced": sum(r["kind"] == "order" for r in f.ledger),
         "service returns": len({r["id"] for r in f.rows if back is not None and r["sent"] >= back}),
-        "in time": len(asked), "freed": sum(r["kind"] == "export" for r in f.ledger),
-        "answered at once": sum(r["status"] == 503 for r in f.rows), "none starved": len(asked),
+        "in time": len(asked),
+        "freed": sum(r["kind"] == "export" for r in f.ledger),
+        "answered at once": sum(r["status"] == 503 for r in f.rows),
+        "none starved": len(asked),
     }
