--- a/mothshed/common/disk_log.py
+++ b/mothshed/common/disk_log.py
@@ -112,6 +112,10 @@
     def get(self, index):
         return self.entries[index - self.base - 1]
 
+    def entry_bytes(self, index):
+        """About how many bytes an entry takes on the disk and on the wire."""
+        return len(json.dumps(self.get(index)))
+
     def write(self, bodies):
         if not bodies:
             return
--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -40,7 +40,10 @@
     "vote_say": "part:q term:q who:s granted:? trial:?",
     "append": "part:q term:q who:s prev:q prev_term:q commit:q round:q entries:j",
     "append_say": "part:q term:q who:s good:? match:q round:q",
-    "snap": "part:q term:q who:s index:q index_term:q members:j state:j round:q",
+    "snap": "part:q term:q who:s index:q index_term:q offset:q total:q checksum:q piece:s",
+    "snap_say": "part:q term:q who:s index:q offset:q done:?",
+    "leave": "part:q who:s",
+    "leave_say": "part:q who:s finished:?",
     "hand": "part:q term:q who:s",
     # news
     "ask": "part:q mark:q held:q staged:q",
--- a/mothshed/common/settings.py
+++ b/mothshed/common/settings.py
@@ -54,7 +54,10 @@
         voluptuous.Optional("ring"): str,
         voluptuous.Optional("ready_http"): address,
         voluptuous.Optional("slack"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=100000)),
-        voluptuous.Optional("losses"): voluptuous.All(int, voluptuous.Range(min=0, max=3)),
+        voluptuous.Optional("losses"): voluptuous.All(int, voluptuous.Range(min=0, max=100)),
+        voluptuous.Optional("catch_up_s"): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=600)
+        ),
         voluptuous.Optional("linger_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60)),
         voluptuous.Optional("drain_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
     },
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -34,7 +34,7 @@
         now = self.desk.now()
         if self.owns:
             self.keep_owning(now)
-        elif self.chart.state in ("follower", "candidate"):
+        elif self.chart.state in ("follower", "candidate") and not self.leaving:
             due = max(self.heard, self.woken) + self.patience - now
             if due <= 0:
                 self.stand(trial=True)
@@ -44,7 +44,11 @@
 
     def stand_if_due(self):
         quiet = self.desk.now() - max(self.heard, self.woken)
-        if self.chart.state in ("follower", "candidate") and quiet > self.patience - constants.ROUNDING:
+        if (
+            self.chart.state in ("follower", "candidate")
+            and not self.leaving
+            and quiet > self.patience - constants.ROUNDING
+        ):
             self.stand(trial=True)
 
     def give_way(self):
@@ -107,7 +111,7 @@
             self.count_votes()
 
     def count_votes(self):
-        if len(self.votes & set(self.members)) < self.majority:
+        if not self.membership.has_quorum(self.votes):
             return
         if self.trial:
             self.stand(trial=False)
@@ -128,6 +132,7 @@
             self.ready = True
             for duty in self.duties:
                 duty.start()
+            self.change_members()
 
     def take_term(self, term):
         was = self.owns
@@ -154,14 +159,19 @@
         """Names the fullest other member as successor and stops taking writes."""
         if not self.owns:
             return False
-        ready = [m for m in self.others() if self.match.get(m, 0) == self.log.last]
+        held = {
+            m: self.progress[m]
+            for m in self.membership.voters
+            if m in self.progress and m not in (self.who, *self.leavers)
+        }
+        ready = [m for m, progress in held.items() if progress.match == self.log.last]
         if not ready:
             return False
-        self.tell(max(ready, key=lambda m: self.acked.get(m, 0)), "hand", term=self.log.term)
+        self.tell(max(ready, key=lambda m: held[m].round), "hand", term=self.log.term)
         self.heard = self.desk.now()
         self.step_back(True)
         return True
 
     def on_hand(self, sender, body):
-        if body["term"] == self.log.term and self.chart.state == "follower":
+        if body["term"] == self.log.term and self.chart.state == "follower" and not self.leaving:
             self.stand(trial=False, handed=True)
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -16,6 +16,7 @@
 import mothshed.control_plane.list_duty as list_duty
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.orders as orders
+import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.service_part as service_part
 
 
@@ -54,6 +55,9 @@
         )
         self.lease = lease_module.Lease(desk, self.lease_goals)
         self.members, self.duties = [], []
+        bounds = reconfiguration.Bounds(
+            settings.get("losses", constants.LOSSES), settings.get("catch_up_s", constants.CATCH_UP)
+        )
         for part in range(constants.PARTS):
             machine = service_part.ServiceMachine() if part else config_part.ConfigMachine()
             seat = member_module.Member(
@@ -65,6 +69,7 @@
                 settings["first_keepers"],
                 machine,
                 self.gossip.keepers,
+                bounds,
             )
             duty = (
                 orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech)
@@ -122,11 +127,16 @@
         return box[0] if gate.wait(constants.COMMIT_WAIT) else None
 
     def drain(self):
-        """Hands every owned part to a successor; True if all were taken over."""
+        """Hands every led part to a successor and leaves the groups; True if all were taken over."""
         good = True
         for seat in self.members:
-            good = bool(self.in_part(seat, lambda: not seat.owns or seat.hand_over())) and good
+            good = bool(self.in_part(seat, lambda seat=seat: not seat.owns or seat.hand_over())) and good
+        for seat in self.members:
+            self.in_part(seat, seat.leave)
         self.desk.pause(2 * constants.HEART_BEAT)
+        until = self.desk.now() + constants.LEAVE_WAIT
+        while self.desk.now() < until and not all(seat.released for seat in self.members):
+            self.desk.pause(constants.HEART_BEAT)
         return good
 
     def condition(self):
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -1,7 +1,7 @@
 """One member of one part's group: the log it keeps, its state, what it applies.
 
 A Member runs on a desk, one callback at a time. The chart `member.json` says
-which states may follow which. Election, replication and joining are three files
+which states may follow which. Election, replication and reconfiguration are three files
 mixed in here; this one holds what they share: the effective membership, applying
 committed entries to the part's machine, snapshots, and the owner's confirmed
 reads. A disk that fails to sync stops the member: it no longer knows what it has.
@@ -13,17 +13,19 @@
 import mothshed.common.disk_log as disk_log
 import mothshed.common.ring as ring
 import mothshed.control_plane.election as election
-import mothshed.control_plane.joining as joining
+import mothshed.control_plane.membership as membership
+import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.replication as replication
 
 
-class Member(election.Election, replication.Replication, joining.Joining):
-    def __init__(self, desk, disk, part, who, http, first, machine, known=lambda: []):
+class Member(election.Election, replication.Replication, reconfiguration.Reconfiguration):
+    def __init__(self, desk, disk, part, who, http, first, machine, known=lambda: [], bounds=None):
         self.desk, self.part, self.who, self.http = desk, part, who, http
         self.address = desk.address
         self.first = list(first)
         self.known = known  # addresses of keepers from hints
         self.machine = machine  # apply(index, command), dump(), restore(state)
+        self.bounds = bounds or reconfiguration.Bounds()
         self.failed = lambda: None  # told once the disk has failed
         self.duties = []  # start() when owner, stop() when not
         self.log = disk_log.PartLog(disk, part)
@@ -33,13 +35,13 @@
         self.where = {}  # id -> address heard of lately
         self.waits = {}  # index -> (term, call)
         self.heard = desk.now()  # also after a start: an old promise may still hold
-        self.members = {}
+        self.membership = membership.Membership()
         if self.log.snap:
             machine.restore(self.log.snap["state"])
             self.commit = self.applied = self.log.snap["index"]
         self.start_election()
         self.start_replication()
-        self.start_joining()
+        self.start_reconfiguration()
         self.read_members()
         if self.members:
             self.chart.step("birth")
@@ -53,10 +55,13 @@
             "append",
             "append_say",
             "snap",
+            "snap_say",
             "hand",
             "born_ask",
             "born_say",
             "join_ask",
+            "leave",
+            "leave_say",
         ):
             self.desk.hear(kind, self.guard(getattr(self, "on_" + kind)), self.part)
         self.desk.post(self.tick)
@@ -83,21 +88,27 @@
         return self.chart.state == "owner"
 
     @property
-    def majority(self):
-        return len(self.members) // 2 + 1
+    def members(self):
+        """Everyone whose vote counts now, id -> {"address", "http"}."""
+        return self.membership.everyone
 
     def read_members(self):
-        """The latest members entry in the log counts, committed or not."""
-        members, at = {}, 0
-        if self.log.snap:
-            members, at = self.log.snap["members"], self.log.snap["index"]
+        """The latest membership in the log counts, committed or not."""
+        self.membership, self.members_at = self.membership_at(self.log.last)
+        if self.owns:
+            kept = set(self.targets())
+            self.progress = {member: row for member, row in self.progress.items() if member in kept}
+        if self.members and self.chart.state not in ("empty", "stopped"):
+            self.chart.step("admit" if self.who in self.members else "learn")
+
+    def membership_at(self, index):
+        """The membership in effect at an index of the log, and the index of its entry."""
         for body in reversed(self.log.entries):
-            if body["c"].get("op") == "members" and body["i"] > at:
-                members, at = body["c"]["members"], body["i"]
-                break
-        self.members, self.members_at = members, at
-        if members and self.chart.state not in ("empty", "stopped"):
-            self.chart.step("admit" if self.who in members else "learn")
+            if body["i"] <= index and body["c"].get("op") == "members":
+                return membership.from_command(body["c"]), body["i"]
+        if self.log.snap:
+            return membership.from_command(self.log.snap["membership"]), self.log.snap["index"]
+        return membership.Membership(), 0
 
     def place_of(self, who):
         if who in self.where:
@@ -138,18 +149,11 @@
         if self.applied - (self.log.snap["index"] if self.log.snap else 0) >= constants.SNAP_EVERY:
             self.snap()
 
-    def members_until(self, index):
-        members = self.log.snap["members"] if self.log.snap else {}
-        for body in self.log.entries:
-            if body["i"] <= index and body["c"].get("op") == "members":
-                members = body["c"]["members"]
-        return members
-
     def snap(self):
         snap = {
             "index": self.applied,
             "term": self.log.term_at(self.applied),
-            "members": self.members_until(self.applied),
+            "membership": self.membership_at(self.applied)[0].command(),
             "state": self.machine.dump(),
         }
         keep = max(self.log.base, self.applied - constants.KEEP_BEHIND)
--- /dev/null
+++ b/mothshed/control_plane/reconfiguration.py
@@ -0,0 +1,179 @@
+"""How members come to be and go: birth of a group, learning, changes of the voters.
+
+A group is born only when every first member says that it is empty. Anyone else,
+a wiped member, a newcomer or one at a new address, asks to join; the leader feeds
+it as a learner without a vote until it holds all that is committed. Which voters the
+group should have then is decided in membership.py; a change is two log entries, the
+joint membership and the settled one, and one change runs at a time. A member that is
+stopped says so and is replaced, or let go, where the group can spare it.
+"""
+
+import dataclasses
+
+import mothshed.common.constants as constants
+import mothshed.control_plane.membership as membership
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What a group must bear. losses: voters lost at once. catch_up: seconds that a loss counts on
+    after its machine is back or replaced."""
+
+    losses: int = constants.LOSSES
+    catch_up: float = constants.CATCH_UP
+
+    @property
+    def smallest(self):
+        """The fewest voters of which a majority is left after the losses."""
+        return 2 * self.losses + 1
+
+    @property
+    def gone_after(self):
+        """Seconds of silence after which a voter may be replaced."""
+        return constants.GONE_SHARE * self.catch_up
+
+
+class Reconfiguration:
+    def start_reconfiguration(self):
+        self.empties = {}  # address -> (time, id, http) of first members that said empty
+        self.learners = {}  # id -> {"address", "http", "at"}
+        self.leavers = {}  # id -> when it last said that it leaves
+        self.leaving = self.released = False  # whether this member is to stop, and may
+        self.asked_at = -1e9
+
+    def keep_joining(self, now):
+        if self.leaving:
+            self.ask_to_leave()
+            return
+        if now - self.asked_at < constants.JOIN_BEAT or self.owns:
+            return
+        self.asked_at = now
+        if self.chart.state == "empty" and self.address in self.first:
+            for address in self.first:
+                self.desk.tell(address, "born_ask", part=self.part, who=self.who, address=self.address, http=self.http)
+        if self.chart.state in ("empty", "learner") or now - self.heard > 2 * constants.ELECT_LOW:
+            goals = {m["address"] for m in self.members.values()} | set(self.first) | set(self.known())
+            for address in sorted(goals - {self.address}):
+                self.desk.tell(address, "join_ask", part=self.part, who=self.who, address=self.address, http=self.http)
+
+    def on_born_ask(self, sender, body):
+        first = self.log.entries[0]["c"] if self.log.entries and self.log.base == 0 else {}
+        self.desk.tell(
+            sender,
+            "born_say",
+            part=self.part,
+            who=self.who,
+            address=self.address,
+            http=self.http,
+            empty=self.log.virgin,
+            members=first.get("members", {}),
+        )
+
+    def on_born_say(self, sender, body):
+        if not self.log.virgin:
+            return
+        if not body["empty"]:
+            if self.who in body["members"]:
+                self.birth(body["members"])
+            return
+        now = self.desk.now()
+        self.empties[body["address"]] = (now, body["who"], body["http"])
+        fresh = {a: e for a, e in self.empties.items() if now - e[0] < 2 * constants.JOIN_BEAT}
+        if set(self.first) <= set(fresh) and len(self.first) >= 1:
+            self.birth({fresh[a][1]: {"address": a, "http": fresh[a][2]} for a in sorted(self.first)})
+
+    def birth(self, members):
+        self.log.put([{"i": 1, "t": 0, "c": membership.Membership(members).command()}])
+        if self.chart.state == "learner":
+            self.read_members()
+            return
+        self.chart.step("birth")
+        self.read_members()
+        self.heard = self.desk.now()
+
+    def on_join_ask(self, sender, body):
+        who = body["who"]
+        self.where[who] = body["address"]
+        if not self.owns:
+            return
+        self.leavers.pop(who, None)
+        if who in self.members and self.members[who]["address"] == body["address"]:
+            return
+        self.learners[who] = {"address": body["address"], "http": body["http"], "at": self.desk.now()}
+        self.spread()
+
+    def change_members(self):
+        """The leader's next step towards the voters that the group should have, if one is due."""
+        if not self.owns or not self.ready or self.commit < self.members_at:
+            return
+        if self.membership.joint:
+            self.propose(self.membership.settled().command())
+            return
+        if self.learners or self.leavers or len(self.members) > self.bounds.smallest:
+            wanted = membership.next_voters(self.view())
+            if wanted is not None:
+                self.propose(self.membership.change_to(wanted).command())
+
+    def view(self):
+        """What this leader sees of its group now."""
+        now = self.desk.now()
+        self.forget_the_gone(now)
+        return membership.GroupView(
+            leader=self.who,
+            voters=self.membership.voters,
+            learners=self.ready_learners(now),
+            silence={member: self.silence(member, now) for member in self.others()},
+            leaving=frozenset(self.leavers),
+            smallest=self.bounds.smallest,
+            present_within=constants.OWNER_QUIET,
+            gone_after=self.bounds.gone_after,
+        )
+
+    def forget_the_gone(self, now):
+        """Drops learners that neither ask nor answer any more, and old words of leaving."""
+        for who, place in list(self.learners.items()):
+            settled = self.membership.voters.get(who, {}).get("address") == place["address"]
+            if settled or min(now - place["at"], self.silence(who, now)) > 4 * constants.JOIN_BEAT:
+                del self.learners[who]
+        self.leavers = {who: at for who, at in self.leavers.items() if now - at < constants.LEAVE_LIFE}
+
+    def ready_learners(self, now):
+        """Places of the learners that answer and hold all that is committed."""
+        found = {}
+        for who, place in self.learners.items():
+            progress = self.progress.get(who)
+            answers = progress and progress.answered and self.silence(who, now) < constants.OWNER_QUIET
+            if answers and progress.match >= self.commit:
+                found[who] = {"address": place["address"], "http": place["http"]}
+        return found
+
+    # --- a member that stops ---
+    def leave(self):
+        """This member's process is to stop: it asks to be replaced or let go, and stands for nothing."""
+        self.leaving = True
+        self.ask_to_leave()
+
+    def ask_to_leave(self):
+        if self.who not in self.members:
+            self.released = True
+        elif self.owner and self.owner != self.who and not self.released:
+            self.tell(self.owner, "leave")
+
+    def on_leave(self, sender, body):
+        if not self.owns:
+            return
+        who = body["who"]
+        self.leavers[who] = self.desk.now()
+        self.learners.pop(who, None)
+        self.change_members()
+        waiting = who in self.members and (self.membership.joint or self.can_spare(who))
+        self.tell(who, "leave_say", finished=not waiting)
+
+    def can_spare(self, who):
+        """Whether a change that lets this voter go is to be expected."""
+        newcomers = [learner for learner in self.learners if learner not in self.members]
+        return self.ready and (bool(newcomers) or len(self.membership.voters) > self.bounds.smallest)
+
+    def on_leave_say(self, sender, body):
+        if self.leaving and body["finished"]:
+            self.released = True
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -1,29 +1,40 @@
-"""The owner's side and the followers' side of one replicated log.
+"""The leader's side and the followers' side of one replicated log.
 
 Every append carries a round number that members echo; a read or a lease answer
 waits until a majority has echoed a round sent after it was asked, which proves
-that this owner still was the owner then. An entry counts as held by a member
-only when that member has synced it. `sure_until` is how long this owner may act
-without asking again: no vote can be given before it is over.
+that this leader still was the leader then. An entry counts as held by a member
+only when that member has synced it. `sure_until` is how long this leader may act
+without asking again: no vote can be given before it is over. What is sent ahead is
+bounded per follower (progress.py); one whose entries are gone from the log here is
+sent the snapshot in pieces (snapshot_transfer.py).
 """
 
 import mothshed.common.constants as constants
+import mothshed.control_plane.progress as progress_module
+import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
 
 class Replication:
     def start_replication(self):
         self.round, self.sent_at = 0, {}
-        self.next, self.match, self.acked, self.ack_time = {}, {}, {}, {}
+        self.progress = {}  # member or learner id -> Progress
         self.confirms = []
         self.spread_at = -1.0
         self.spread_due = None
         self.sure_until = 0.0
         self.ready = False
         self.won_at = self.desk.now()
+        self.encoded = None  # the newest snapshot as text, while somebody needs it
+        self.collector = snapshot_transfer.Collector()
 
     def targets(self):
         return self.others() + [m for m in self.learners if m not in self.members]
 
+    def progress_of(self, member):
+        if member not in self.progress:
+            self.progress[member] = progress_module.Progress(self.log.last + 1, self.won_at)
+        return self.progress[member]
+
     def spread(self):
         """Sends what is missing to every member, at most once in a ROUND_GAP."""
         gap = self.spread_at + constants.ROUND_GAP - self.desk.now()
@@ -39,126 +50,174 @@
         self.spread_at = self.desk.now()
         self.round += 1
         self.sent_at[self.round] = self.spread_at
-        self.sent_at.pop(self.round - 500, None)
-        for m in self.targets():
-            self.send_append(m)
+        self.sent_at.pop(self.round - constants.ROUNDS_KEPT, None)
+        for member in self.targets():
+            self.send_append(member)
         self.count_rounds()
 
-    def send_append(self, m):
-        at = self.next.setdefault(m, self.log.last + 1)
-        prev_term = self.log.term_at(at - 1)
-        if prev_term is None:
-            snap = self.log.snap
-            self.tell(
-                m,
-                "snap",
-                term=self.log.term,
-                index=snap["index"],
-                index_term=snap["term"],
-                members=snap["members"],
-                state=snap["state"],
-                round=self.round,
-            )
-            return
-        entries = self.log.entries[at - 1 - self.log.base :][: constants.APPEND_MOST]
+    def send_append(self, member):
+        """One append: entries as far as the window allows, else none but the round and the commit index."""
+        progress = self.progress_of(member)
+        if progress.next - 1 < self.log.base:
+            self.send_piece(member, progress)
+        previous = progress.next - 1 if progress.transfer is None else 0
+        entries, size = self.next_entries(progress)
         self.tell(
-            m,
+            member,
             "append",
             term=self.log.term,
-            prev=at - 1,
-            prev_term=prev_term,
+            prev=previous,
+            prev_term=self.log.term_at(previous) or 0,
             commit=self.commit,
             round=self.round,
             entries=entries,
         )
+        if entries:
+            progress.sent(self.round, entries[-1]["i"], size)
+
+    def next_entries(self, progress):
+        """The entries to send now and their size; none while a snapshot is on its way."""
+        if progress.transfer is not None:
+            return [], 0
+        room, entries, size = min(progress.room(), constants.APPEND_BYTES), [], 0
+        for index in range(progress.next, min(self.log.last, progress.next + constants.APPEND_MOST - 1) + 1):
+            more = self.log.entry_bytes(index)
+            if size + more > room and (entries or progress.flights):
+                break
+            entries.append(self.log.get(index))
+            size += more
+        return entries, size
+
+    def send_piece(self, member, progress):
+        """Starts the transfer of the newest snapshot, or goes on with the one under way."""
+        now = self.desk.now()
+        if progress.transfer is None:
+            if self.encoded is None or self.encoded.index != self.log.snap["index"]:
+                self.encoded = snapshot_transfer.Encoded(self.log.snap)
+            progress.transfer = snapshot_transfer.Transfer(self.encoded)
+        if progress.transfer.due(now):
+            self.tell(member, "snap", term=self.log.term, **progress.transfer.piece(now))
 
     def on_append(self, sender, body):
         if body["term"] < self.log.term:
             self.desk.tell(
-                sender, "append_say", part=self.part, who=self.who, term=self.log.term, good=False, match=0, round=0
+                sender,
+                "append_say",
+                part=self.part,
+                who=self.who,
+                term=self.log.term,
+                good=False,
+                match=0,
+                round=0,
             )
             return
         self.follow(body, sender)
-        prev, good = body["prev"], True
-        if prev < self.log.base:
-            entries = [e for e in body["entries"] if e["i"] > self.log.base]
-            good = bool(entries) or prev + len(body["entries"]) == self.log.base
-        else:
-            entries = body["entries"]
-            good = self.log.term_at(prev) == body["prev_term"]
-        match = min(self.log.last, max(0, prev - 1))
-        if good:
-            new = [e for e in entries if self.log.term_at(e["i"]) != e["t"]]
-            if new:
-                self.log.put([e for e in entries if e["i"] >= new[0]["i"]])
-                self.read_members()
-            match = max(prev + len(body["entries"]), self.log.base)
-            if min(body["commit"], match) > self.commit:
-                self.commit = min(body["commit"], match)
-                self.apply_all()
+        good, match = self.take_entries(body["prev"], body["prev_term"], body["entries"])
+        if good and min(body["commit"], match) > self.commit:
+            self.commit = min(body["commit"], match)
+            self.apply_all()
         self.tell(body["who"], "append_say", term=self.log.term, good=good, match=match, round=body["round"])
 
+    def take_entries(self, previous, previous_term, entries):
+        """Writes what is new; (whether the log fits, up to where it is the leader's)."""
+        if previous < self.log.base:  # what the snapshot holds is committed, so it is the leader's
+            entries = [e for e in entries if e["i"] > self.log.base]
+            if not entries:
+                return True, self.log.base
+            previous = self.log.base
+        elif self.log.term_at(previous) is None:
+            return False, self.log.last
+        elif self.log.term_at(previous) != previous_term:
+            return False, self.commit
+        new = [e for e in entries if self.log.term_at(e["i"]) != e["t"]]
+        if new:
+            self.log.put([e for e in entries if e["i"] >= new[0]["i"]])
+            self.read_members()
+        return True, previous + len(entries)
+
     def on_snap(self, sender, body):
         if body["term"] < self.log.term:
             return
         self.follow(body, sender)
         if body["index"] > self.commit:
-            snap = {
-                "index": body["index"],
-                "term": body["index_term"],
-                "members": body["members"],
-                "state": body["state"],
-            }
-            self.log.put_snap(snap, body["index"])
-            self.machine.restore(body["state"])
-            self.commit = self.applied = body["index"]
-            self.read_members()
+            snap = self.collector.take(body)
+            if snap is not None:
+                self.install(snap)
+        done = body["index"] <= self.commit
         self.tell(
             body["who"],
-            "append_say",
+            "snap_say",
             term=self.log.term,
-            good=True,
-            match=max(body["index"], self.log.base),
-            round=body["round"],
+            index=body["index"],
+            offset=self.collector.length,
+            done=done,
         )
 
+    def install(self, snap):
+        """Takes a whole snapshot in the place of the log up to its index."""
+        self.log.put_snap(snap, snap["index"])
+        self.machine.restore(snap["state"])
+        self.commit = self.applied = snap["index"]
+        self.read_members()
+
+    def on_snap_say(self, sender, body):
+        progress = self.progress.get(body["who"])
+        if not self.owns or body["term"] != self.log.term or progress is None:
+            return
+        progress.heard, progress.answered = self.desk.now(), True
+        if progress.transfer is None or body["index"] != progress.transfer.encoded.index:
+            return
+        if body["done"]:
+            progress.installed(body["index"])
+            self.encoded = None if not self.transfers() else self.encoded
+            self.count_commit()
+            self.spread()
+            return
+        progress.transfer.answered(body["index"], body["offset"])
+        self.send_piece(body["who"], progress)
+
+    def transfers(self):
+        """The followers to which a snapshot is on its way."""
+        return [member for member, progress in self.progress.items() if progress.transfer is not None]
+
     def on_append_say(self, sender, body):
         if body["term"] > self.log.term:
             if body["who"] in self.members:
                 self.take_term(body["term"])
             return
-        if not self.owns or body["term"] != self.log.term:
+        member = body["who"]
+        if not self.owns or body["term"] != self.log.term or member not in self.targets():
             return
-        m = body["who"]
-        self.ack_time[m] = self.desk.now()
-        self.acked[m] = max(self.acked.get(m, 0), body["round"])
-        if body["good"]:
-            self.match[m] = max(self.match.get(m, 0), body["match"])
-            self.next[m] = self.match[m] + 1
-        else:
-            self.next[m] = body["match"] + 1
-        if self.next[m] <= self.log.last:
+        progress = self.progress_of(member)
+        progress.echoed(body["round"], self.desk.now())
+        if progress.transfer is None:
+            if body["good"]:
+                progress.accepted(body["match"], body["round"])
+            else:
+                progress.rejected(body["match"], body["round"], self.round)
+        if progress.next <= self.log.last and progress.room() > 0:
             self.spread()
         self.count_rounds()
         self.count_commit()
-        self.admit_some()
+        self.change_members()
 
     def count_commit(self):
-        held = sorted([self.log.last] + [self.match.get(m, 0) for m in self.others()], reverse=True)
-        if self.who not in self.members:
-            held.remove(self.log.last)
-        index = held[self.majority - 1] if len(held) >= self.majority else 0
+        held = {member: progress.match for member, progress in self.progress.items()}
+        held[self.who] = self.log.last
+        index = self.membership.agreed(held)
         if index > self.commit and self.log.term_at(index) == self.log.term:
             self.commit = index
             self.apply_all()
             if self.owns:
+                self.change_members()
                 self.spread()
 
     def count_rounds(self):
         if not self.owns:
             return
-        seen = sorted([self.round] + [self.acked.get(m, 0) for m in self.others()], reverse=True)
-        sure = seen[self.majority - 1] if len(seen) >= self.majority else 0
+        seen = {member: progress.round for member, progress in self.progress.items()}
+        seen[self.who] = self.round
+        sure = self.membership.agreed(seen)
         if sure in self.sent_at:
             self.sure_until = max(self.sure_until, self.sent_at[sure] + constants.VOTE_HOLD - constants.LEASE_SLACK)
         due = [c for c in self.confirms if c[0] <= sure]
@@ -182,10 +241,15 @@
     def sure(self):
         return self.owns and self.ready and self.desk.now() < self.sure_until
 
+    def silence(self, member, now):
+        """Seconds since a member's last answer to this leader, counted from its election at least."""
+        progress = self.progress.get(member)
+        return now - (progress.heard if progress else self.won_at)
+
     def keep_owning(self, now):
-        fresh = [m for m in self.others() if now - self.ack_time.get(m, self.won_at) < constants.OWNER_QUIET]
-        if len(fresh) + 1 < self.majority:
+        present = [m for m in self.others() if self.silence(m, now) < constants.OWNER_QUIET]
+        if not self.membership.has_quorum([*present, self.who]):
             self.step_back(True)
             return
         self.spread()
-        self.admit_some()
+        self.change_members()
--- /dev/null
+++ b/mothshed/control_plane/snapshot_transfer.py
@@ -0,0 +1,75 @@
+"""A snapshot on its way to one follower, in pieces of bounded size.
+
+The leader sends one piece at a time and goes on where the follower says it stands;
+a piece without an answer is sent again. The follower collects pieces of one
+snapshot only, checks the whole by its checksum and installs it in one step.
+"""
+
+import json
+import zlib
+
+import mothshed.common.constants as constants
+
+
+class Encoded:
+    """A snapshot as text, made once for all followers that need it."""
+
+    def __init__(self, snap):
+        self.index, self.term = snap["index"], snap["term"]
+        self.text = json.dumps(snap, separators=(",", ":"))
+        self.checksum = zlib.crc32(self.text.encode())
+
+
+class Transfer:
+    """The sender's side; `offset` is how many characters the follower has."""
+
+    def __init__(self, encoded):
+        self.encoded = encoded
+        self.offset = 0
+        self.sent_at = None
+
+    def due(self, now):
+        """Whether the next piece is to be sent: none is under way, or its answer is overdue."""
+        return self.sent_at is None or now - self.sent_at > constants.PIECE_RESEND
+
+    def piece(self, now):
+        """The fields of the record that carries the next piece."""
+        self.sent_at = now
+        whole = self.encoded
+        return {
+            "index": whole.index,
+            "index_term": whole.term,
+            "offset": self.offset,
+            "total": len(whole.text),
+            "checksum": whole.checksum,
+            "piece": whole.text[self.offset : self.offset + constants.PIECE_BYTES],
+        }
+
+    def answered(self, index, offset):
+        """The follower has this much of that snapshot; answers about another one are passed over."""
+        if index == self.encoded.index and offset <= len(self.encoded.text):
+            self.offset, self.sent_at = offset, None
+
+
+class Collector:
+    """The receiver's side: the pieces of one snapshot so far."""
+
+    def __init__(self):
+        self.identity, self.pieces, self.length = None, [], 0
+
+    def take(self, body):
+        """Adds a piece; returns the snapshot once it is whole and its checksum fits, else None."""
+        identity = (body["index"], body["index_term"], body["total"], body["checksum"])
+        if identity != self.identity:
+            self.identity, self.pieces, self.length = identity, [], 0
+        if body["offset"] != self.length:
+            return None
+        self.pieces.append(body["piece"])
+        self.length += len(body["piece"])
+        if self.length < body["total"]:
+            return None
+        text = "".join(self.pieces)
+        self.identity, self.pieces, self.length = None, [], 0
+        if zlib.crc32(text.encode()) != body["checksum"]:
+            return None
+        return json.loads(text)
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -10,7 +10,7 @@
 import mothshed.common.replicas as replicas
 import mothshed.common.verdict as verdict
 import mothshed.control_plane.config_part as config_part
-import mothshed.control_plane.joining as joining
+import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.member as member
 import mothshed.control_plane.orders as orders
@@ -234,7 +234,7 @@
     "a free place is not refused": (put(carry.Carry, admit=bounce_some), "calm", "in time"),
     "given-up requests are answered at once": (put(admission.Admission, enter=bounce_late), "calm", "answered at once"),
     "newcomers are admitted": (
-        put(joining.Joining, on_join_ask=lambda self, sender, body: None),
+        put(reconfiguration.Reconfiguration, on_join_ask=lambda self, sender, body: None),
         "keepers_swapped",
         "service returns",
     ),
