--- /dev/null
+++ b/tests/group_model.py
@@ -0,0 +1,144 @@
+"""A group of members whose messages, clocks, crashes and disks are moved by hand.
+
+Used by model tests: it applies the product's own Member, checks after every step that
+no two leaders share a term and that no index is applied with two commands, and can
+bring the group to rest at the end to see whether what was acknowledged is there.
+"""
+
+import mothshed.control_plane.member as member_module
+import mothshed.control_plane.reconfiguration as reconfiguration
+import tests.all_orders as all_orders
+
+STEP = 0.05  # s; the clock's step while the group comes to rest
+REST_STEPS = 400  # steps that a group is given to come to rest
+
+
+class Recorder:
+    """A machine that keeps what was applied, and compares it with all others."""
+
+    def __init__(self, history):
+        self.history, self.rows = history, []
+
+    def apply(self, index, command):
+        said = self.history.setdefault(index, command)
+        assert said == command, f"index {index} is {said} and {command}"
+        if command["op"] == "note":
+            self.rows.append(command["n"])
+        return {"index": index}
+
+    def dump(self):
+        return {"rows": list(self.rows)}
+
+    def restore(self, state):
+        self.rows = list(state["rows"])
+
+
+class Group:
+    def __init__(self, size, losses):
+        self.pool = all_orders.Pool()
+        self.bounds = reconfiguration.Bounds(losses, 4.0)
+        self.history, self.leaders, self.acknowledged = {}, {}, []
+        self.seats, self.disks, self.marks, self.down = {}, {}, {}, set()
+        self.count = 0
+        names = [chr(ord("A") + n) for n in range(size)]
+        voters = {f"{name}/1": {"address": self.address(name), "http": ""} for name in names}
+        for name in names:
+            self.disks[name], self.marks[name] = all_orders.disk(), 1
+            log = member_module.disk_log.PartLog(self.disks[name], 0)
+            log.put([{"i": 1, "t": 0, "c": {"op": "members", "members": voters, "outgoing": {}}}])
+            self.boot(name)
+        self.pool.time += 10
+
+    def address(self, name):
+        return f"{name.lower()}:1"
+
+    def boot(self, name):
+        address = self.address(name)
+        self.pool.ears[address] = {}
+        seat = member_module.Member(
+            all_orders.HandDesk(self.pool, address, f"{name}{self.count}"),
+            self.disks[name],
+            0,
+            f"{name}/{self.marks[name]}",
+            "",
+            [],
+            Recorder(self.history),
+            lambda: [self.address(other) for other in self.seats],
+            self.bounds,
+        )
+        seat.begin()
+        self.seats[name] = seat
+        self.down.discard(name)
+
+    # --- what may happen ---
+    def crash(self, name):
+        self.down.add(name)
+        self.pool.ears[self.address(name)] = {}
+        self.disks[name].crash()
+
+    def wipe(self, name):
+        self.crash(name)
+        self.disks[name] = all_orders.disk()
+        self.marks[name] += 1
+
+    def add(self, name):
+        """A machine that the group has not met."""
+        self.disks[name], self.marks[name] = all_orders.disk(), 1
+        self.boot(name)
+
+    def tick(self, name):
+        if name not in self.down:
+            self.seats[name].guard(self.seats[name].work)()
+
+    def deliver(self, at):
+        if self.pool.waiting:
+            self.pool.deliver(at % len(self.pool.waiting))
+
+    def propose(self, name):
+        """A write through this member, if it leads; noted once acknowledged."""
+        seat = self.seats[name]
+        if name in self.down or not (seat.owns and seat.ready):
+            return
+        self.count += 1
+        number = self.count
+        seat.propose({"op": "note", "n": number}, lambda result: result and self.acknowledged.append(number))
+
+    # --- what must hold ---
+    def check(self):
+        for name, seat in self.seats.items():
+            if name not in self.down and seat.owns:
+                known = self.leaders.setdefault(seat.log.term, seat.who)
+                assert known == seat.who, f"two leaders of term {seat.log.term}: {known}, {seat.who}"
+
+    def whole(self):
+        """Whether a leader has settled on just the members that there are: then a disk may be lost."""
+        wanted = {f"{name}/{mark}" for name, mark in self.marks.items()}
+        for name, seat in self.seats.items():
+            if name not in self.down and seat.owns and seat.ready and seat.commit >= seat.members_at:
+                if not seat.membership.joint and set(seat.membership.voters) == wanted:
+                    newest = max(s.log.term for n, s in self.seats.items() if n not in self.down)
+                    return seat.log.term == newest
+        return False
+
+    def rest(self):
+        """Everything runs and is heard, in order, until the group is whole and all have applied the same."""
+        for name in sorted(self.down):
+            self.boot(name)
+        for _ in range(REST_STEPS):
+            self.pool.time += STEP
+            for name in sorted(self.seats):
+                self.tick(name)
+            for _ in range(len(self.pool.waiting) + 200):
+                if self.pool.waiting:
+                    self.pool.deliver(0)
+                    self.check()
+            if self.whole() and len({tuple(s.machine.rows) for s in self.seats.values()}) == 1:
+                return
+        states = {n: (s.chart.state, s.log.term, s.log.last, s.commit, s.membership) for n, s in self.seats.items()}
+        raise AssertionError(f"the group does not come to rest: {states}")
+
+    def finish(self):
+        self.rest()
+        kept = next(iter(self.seats.values())).machine.rows
+        assert set(self.acknowledged) <= set(kept), f"lost: {sorted(set(self.acknowledged) - set(kept))}"
+        assert len(kept) == len(set(kept)), "a write was applied twice"
