--- a/tools/simulate.py
+++ b/tools/simulate.py
@@ -32,7 +32,9 @@
 
 def one(name, seed, deployment="patinetes", size="small", **shape):
     """Runs one day; returns (broken rules, fleet)."""
-    f = fleet.SimFleet(f"{name}.{seed}", deployment, **{**shape_of(deployment, size), **shape})
+    f = fleet.SimFleet(
+        f"{name}.{seed}", deployment, **{**shape_of(deployment, size), **day_base.SHAPES.get(name, {}), **shape}
+    )
     began = f.loop.time
     f.ready()
     if size == "brief":
--- a/tools/simulator/day_base.py
+++ b/tools/simulator/day_base.py
@@ -9,6 +9,7 @@
 import tools.callers as callers
 
 DAYS = {}
+SHAPES = {}  # day -> what its fleet has beside the usual, for SimFleet
 
 
 def day(call):
@@ -16,6 +17,16 @@
     return call
 
 
+def day_of(**shape):
+    """A day whose fleet has another shape than the usual one."""
+
+    def note(call):
+        SHAPES[call.__name__] = shape
+        return day(call)
+
+    return note
+
+
 def companions(f):
     """What goes on during every day: a change, a replica that leaves and comes back, a request of nobody's."""
     write(f, 3 + 4 * f.random.random(), "companion")
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -23,7 +23,7 @@
 
 
 class SimFleet:
-    def __init__(self, seed, deployment="patinetes", routers=3, keepers=3, replicas=4, lag=0.7):
+    def __init__(self, seed, deployment="patinetes", routers=3, keepers=3, replicas=4, lag=0.7, losses=1):
         self.loop = loop_module.Loop(seed)
         self.net = network.Network(self.loop)
         self.random = random.Random(f"{seed}/faults")
@@ -39,11 +39,13 @@
         self.ops = self.desk(self.outside, "10.0.0.1:1")
         self.list = stand_in_list.PlatformList(lag, lambda: self.loop.time)
         self.net.apps["10.0.0.2:80"] = (self.machine("list"), self.list)
-        self.seeds = [f"10.1.0.{at + 1}:70" for at in range(keepers)]
+        self.losses = losses
+        places = [f"10.1.0.{at + 1}:70" for at in range(keepers)]
+        self.seeds = places[:3]  # a process is told of three at most
         for at in range(replicas):
             self.add_replica(f"replica-{at + 1}", at)
         for at in range(keepers):
-            self.add_keeper(f"keep-{at + 1}", at, self.seeds[at])
+            self.add_keeper(f"keep-{at + 1}", at, places[at])
         for at in range(routers):
             self.add_router(f"route-{at + 1}", at)
 
@@ -96,6 +98,7 @@
             "seeds": list(self.seeds),
             "first_keepers": list(self.seeds),
             "list_url": "http://10.0.0.2:80/replicas",
+            "losses": self.losses,
             **more,
         }
 
