--- /dev/null
+++ b/tests/platform_door.py
@@ -0,0 +1,119 @@
+"""The operator's door on the platform: a real keeper and a real router in one process, over real sockets."""
+
+import json
+
+import pytest
+
+import mothshed.common.disk as disk
+import mothshed.control_plane.keeper as keeper_module
+import mothshed.data_plane.router as router_module
+import tests.platform_site as platform_site
+import tests.platform_stand_in as stand_in
+import tools.fleet as fleet
+
+
+class Door:
+    """One keeper, one router that has its lease from there, and one replica."""
+
+    def __init__(self, folder):
+        self.platform = stand_in.Platform()
+        self.replica = stand_in.Replica(self.platform, "one", "decode", events=0)
+        desk, made = platform_site.desk(), []
+        place, list_url = desk.address, f"http://{self.platform.address}"
+
+        def new_desk():
+            made.append(platform_site.world.Desk(desk.beats, desk.peers, place))
+            return made[-1]
+
+        speech = platform_site.replica_speech.Speech()
+        speech.list_beat = 0.1
+        settings = {
+            "name": "k",
+            "address": place,
+            "http": f"127.0.0.1:{fleet.free_port('127.0.0.1')}",
+            "cell": "a",
+            "seeds": [place],
+            "first_keepers": [place],
+            "list_url": list_url,
+            "data": str(folder),
+        }
+        self.keeper = keeper_module.Keeper(desk, settings, new_desk, disk.Disk(folder), speech=speech)
+        self.keeper.run()
+        self.keeper_server = self.keeper.front(platform_site.operator_front.OperatorFront)
+        self.address = platform_site.serve(self.keeper_server)
+        other = platform_site.desk()
+        self.router = router_module.Router(
+            other,
+            {
+                "name": "r",
+                "address": other.address,
+                "http": "127.0.0.1:0",
+                "cell": "a",
+                "seeds": [place],
+                "list_url": list_url,
+            },
+            speech,
+        )
+        self.router.run()
+        self.router_server = self.router.front()
+        self.counter = platform_site.serve(self.router_server)
+        self.desks = [desk, other]
+        platform_site.until(lambda: self.get()[0] == 200, 8.0)
+
+    def stop(self):
+        for server in (self.keeper_server, self.router_server):
+            server.stop()
+        for listener in (self.replica, self.platform, *(d.peers for d in self.desks)):
+            listener.stop()
+
+    def get(self):
+        answer = platform_site.ask(self.address, "GET", "/configuration", None, [("Host", "k")])
+        return answer.status, json.loads(answer.body)
+
+    def latest(self):
+        return self.get()[1].get("edition", 0)
+
+    def put(self, body, base):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        for turn in range(3):  # without a clear answer it is sent again unchanged, as operators do
+            answer = platform_site.ask(
+                self.address,
+                "PUT",
+                "/configuration",
+                data,
+                [("Host", "k"), ("If-Match", str(base)), ("Content-Type", "application/json")],
+            )
+            if answer.status not in (503, 504):
+                break
+        return answer
+
+    def call(self, host, target="/p/x"):
+        return platform_site.ask(
+            self.counter, "POST", target, b"b", [("Host", host), ("Try-Id", f"t{next(stand_in.COUNT)}")]
+        )
+
+
+def document(edition, *routes, **more):
+    rows = routes or [platform_site.route("r-one", "one.example", "one", kind="once_only")]
+    return {
+        "edition": edition,
+        "itineraries": list(rows),
+        "depots": [platform_site.depot("one")],
+        "caps": {"head_bytes": 16384, "parcel_bytes": 4194304, "head_ms": 3000, "quiet_ms": 15000},
+        **more,
+    }
+
+
+@pytest.fixture(scope="module")
+def door(tmp_path_factory):
+    found = Door(tmp_path_factory.mktemp("data"))
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def base(door):
+    """The edition in place; the first is put if there is none."""
+    if not door.latest():
+        assert door.put(document(3), 0).status == 200
+    return door.latest()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,12 +1,10 @@
-"""Bad input from every side: requests, configurations, settings, replicas, peers."""
+"""Bad input from callers, operators, settings and peers; test_bad_replica_answers has the replicas."""
 
-import copy
 import json
 import socket
 import subprocess
 import sys
 import time
-import types
 
 import pytest
 
@@ -14,9 +12,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.peers as peers
 import mothshed.common.records as records
-import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.settings as settings
-import mothshed.common.verdict as verdict
 import mothshed.control_plane.keeper_front as keeper_front
 import tests.fronts as fronts
 import tools.fleet as fleet
@@ -145,82 +141,6 @@
     assert done.returncode == 2 and "seeds" in done.stderr + done.stdout
 
 
-GOOD = [
-    b'data: {"id": "cmpl-a1", "choices": [{"text": "x ", "finish_reason": null}]}',
-    b'data: {"id": "cmpl-a1", "choices": [{"text": "y ", "finish_reason": "stop"}]}',
-    b"data: [DONE]",
-]
-
-
-def stream(lines):
-    response = types.SimpleNamespace(lines=lambda: iter(lines), close=lambda: None)
-    place = types.SimpleNamespace(name="r")
-    return list(replica_adapter.Stream(types.SimpleNamespace(now=lambda: 0.0), "a1", place, response, 5.0))
-
-
-def test_a_whole_stream_is_read():
-    assert stream(GOOD) == [("x ", None), ("y ", "stop")]
-
-
-@pytest.mark.parametrize(
-    "lines",
-    [
-        GOOD[:1],
-        GOOD[:2],
-        GOOD[2:],
-        GOOD[:1] + GOOD[2:],
-        GOOD + GOOD[:1],
-        GOOD[:2] + GOOD[:1] + GOOD[2:],
-        [b"nonsense"],
-        [b"data: {"],
-        [b'data: {"error": {"message": "x"}}'],
-        [b"data: []"],
-        [b'data: {"id": "cmpl-a1", "choices": []}'],
-        [b'data: {"id": "cmpl-a11", "choices": [{"text": "x ", "finish_reason": "stop"}]}', b"data: [DONE]"],
-        [b'data: {"id": "cmpl-a1", "choices": [{"text": 5, "finish_reason": "stop"}]}', b"data: [DONE]"],
-        [],
-    ],
-)
-def test_a_stream_that_is_not_whole_or_not_ours_is_never_a_success(lines):
-    with pytest.raises(verdict.SendFailure) as failure:
-        stream(lines)
-    assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN
-
-
-HANDLE = {
-    "remote_engine_id": "e",
-    "remote_block_ids": [1],
-    "remote_host": "h",
-    "remote_port": 1,
-    "remote_request_id": "a1",
-}
-
-
-@pytest.mark.parametrize(
-    "spoil",
-    [
-        lambda s: s.pop("kv_transfer_params"),
-        lambda s: s.update(id="cmpl-a2"),
-        lambda s: s["kv_transfer_params"].pop("remote_port"),
-        lambda s: s["kv_transfer_params"].update(remote_request_id="a2"),
-        lambda s: s["kv_transfer_params"].update(remote_engine_id="f"),
-        lambda s: s["kv_transfer_params"].update(remote_block_ids=None),
-        lambda s: s.update(kv_transfer_params=[]),
-    ],
-)
-def test_a_handle_that_is_missing_or_foreign_is_not_taken(spoil):
-    said = {"id": "cmpl-a1", "kv_transfer_params": copy.deepcopy(HANDLE)}
-    request = types.SimpleNamespace(id="a1", body={}, path="/v1/completions")
-    place = types.SimpleNamespace(name="r", url="http://r", engine="e")
-    web = types.SimpleNamespace(send=lambda *a, **k: types.SimpleNamespace(status=200, body=lambda: said))
-    desk = types.SimpleNamespace(now=lambda: 0.0, web=web)
-    assert replica_adapter.prefill(desk, request, "a1", place, 1, 1.0, None).params["remote_block_ids"] == [1]
-    spoil(said)
-    with pytest.raises(verdict.SendFailure) as failure:
-        replica_adapter.prefill(desk, request, "a1", place, 1, 1.0, None)
-    assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN
-
-
 def spoiled():
     good = records.pack("ask", part=0, mark=1, held=0, staged=0)
     yield b"XXXX" + good[4:]
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,6 +5,7 @@
 import pytest
 
 import tools.judge as judge
+import tools.judge_traffic as judge_traffic
 
 GOOD = {
     "history": [
@@ -75,7 +76,7 @@
     table = judge.all_rules(
         case["history"], case["ledger"], case["writes"], case["shown"], case["final"], case["refused"]
     )
-    table["freed"] = judge.freed(case["ledger"], 100.0)
+    table["freed"] = judge_traffic.freed(case["ledger"], 100.0)
     return {rule for rule, found in table.items() if found}
 
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -18,29 +18,9 @@
 
 import mothshed.common.configuration as configuration
 import mothshed.programs.ask as ask
+import tools.deployments as deployments
 import tools.relay as relay
 
-DEPLOYMENTS = {
-    "patinetes": {
-        "zones": ["mx-a", "mx-b", "mx-c"],
-        "machines": 10,
-        "disks": 3,
-        "replicas": 5,
-        "rate": 8.0,
-        "model": "shift-notes",
-        "tenants": ["dispatch", "repair", "riders"],
-    },
-    "tesfaye": {
-        "zones": ["aa-1", "aa-2", "aa-3", "aa-4"],
-        "machines": 12,
-        "disks": 3,
-        "replicas": 9,
-        "rate": 16.0,
-        "model": "refill-check",
-        "tenants": ["pharmacist", "counter", "assistant"],
-    },
-}
-
 
 def free_port(host):
     with socket.socket() as s:
@@ -49,7 +29,7 @@
 
 
 def document(deployment, **changes):
-    d = DEPLOYMENTS[deployment]
+    d = deployments.DEPLOYMENTS[deployment]
     return {
         "model": d["model"],
         "kinds": configuration.EXAMPLE["kinds"],
@@ -64,7 +44,7 @@
     def __init__(self, folder, deployment="patinetes", machines=None, replicas=None, lag=0.7, relays=False):
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.plan = {**DEPLOYMENTS[deployment]}
+        self.plan = {**deployments.DEPLOYMENTS[deployment]}
         self.deployment = deployment
         self.plan["machines"] = machines or self.plan["machines"]
         self.plan["replicas"] = replicas or self.plan["replicas"]
--- a/tools/fleet_run.py
+++ b/tools/fleet_run.py
@@ -9,9 +9,11 @@
 
 import mothshed.common.world as world
 import tools.callers as callers
+import tools.deployments as deployments
 import tools.fleet as fleet_module
 import tools.fleet_faults as fleet_faults
 import tools.judge as judge
+import tools.judge_traffic as judge_traffic
 
 
 def share(part, whole):
@@ -88,7 +90,7 @@
         final = fleet.config("/configuration/history")
         ledger, shown = fleet.ledger(), fleet.shown_leaving()
         rules = judge.all_rules(rows, ledger, writes, shown, final, hurt.refused)
-        rules["freed"] = judge.freed(ledger, world.now() - 1.0)
+        rules["freed"] = judge_traffic.freed(ledger, world.now() - 1.0)
         for at, what in hurt.log:
             out(f"  fault at {at:.2f}: {what}")
         for line in figures(rows, ledger, kinds):
@@ -101,8 +103,8 @@
 def main(args):
     try:
         fleet_faults.parse(args.faults)
-        if args.deployment not in fleet_module.DEPLOYMENTS:
-            raise ValueError(f"no deployment {args.deployment!r}; there are {', '.join(fleet_module.DEPLOYMENTS)}")
+        if args.deployment not in deployments.DEPLOYMENTS:
+            raise ValueError(f"no deployment {args.deployment!r}; there are {', '.join(deployments.DEPLOYMENTS)}")
     except ValueError as e:
         print(e, file=sys.stderr)
         return 2
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -18,6 +18,7 @@
 import sys
 
 import tools.callers as callers
+import tools.deployments as deployments
 import tools.fleet as real_fleet
 import tools.fleet_run as fleet_run
 import tools.simulator.fleet as sim
@@ -102,7 +103,7 @@
 
 def fairness(args, calls):
     table = {}
-    tenants = real_fleet.DEPLOYMENTS[args.deployment]["tenants"]
+    tenants = deployments.DEPLOYMENTS[args.deployment]["tenants"]
     quiet = [c for c in calls if c[1]["tenant"] != tenants[0]]
     own = [c for c in calls if c[1]["tenant"] == tenants[0]]
     rush = callers.traffic(f"{args.seed}-rush", tenants[:1], 10 * args.rate / len(tenants), args.seconds)
@@ -159,7 +160,7 @@
 
 def swing(args):
     half = args.seconds / 2
-    tenants = real_fleet.DEPLOYMENTS[args.deployment]["tenants"]
+    tenants = deployments.DEPLOYMENTS[args.deployment]["tenants"]
     one = callers.traffic(f"{args.seed}-long-prompts", tenants, args.rate, half, LONG_PROMPTS)
     two = callers.traffic(f"{args.seed}-long-answers", tenants, args.rate, half, LONG_ANSWERS)
     return one + later(two, half)
@@ -169,7 +170,7 @@
     what = {"pairing": pairing, "split": split, "fairness": fairness, "scale": scale, "gap": gap}
     parser = argparse.ArgumentParser(description="measurements on recorded traffic")
     parser.add_argument("what", choices=sorted(what))
-    parser.add_argument("--deployment", default="patinetes", choices=sorted(real_fleet.DEPLOYMENTS))
+    parser.add_argument("--deployment", default="patinetes", choices=sorted(deployments.DEPLOYMENTS))
     parser.add_argument("--seed", default="1")
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--rate", type=float, default=0.0, help="requests a second; 0: the measurement's own")
@@ -177,7 +178,7 @@
     parser.add_argument("--traffic", help="replay this recording")
     args = parser.parse_args(argv)
     args.rate = args.rate or RATES[args.what]
-    tenants = real_fleet.DEPLOYMENTS[args.deployment]["tenants"]
+    tenants = deployments.DEPLOYMENTS[args.deployment]["tenants"]
     try:
         if args.traffic:
             calls = [(at, call) for at, call in json.loads(pathlib.Path(args.traffic).read_text())]
--- a/tools/protections.py
+++ b/tools/protections.py
@@ -15,6 +15,7 @@
 import tools.simulate as simulate
 import tools.simulator.days as days
 import tools.taken_out as taken_out
+import tools.weakened as weakened
 
 ROWS = taken_out.ROWS
 SEEDS = 12
@@ -24,7 +25,7 @@
     """The first seed that breaks the row's rule on its day (or another), or None."""
     patch, own, rule = ROWS[name]
     for seed in range(1, 1 + seeds):
-        taken_out.KEPT.clear()
+        weakened.KEPT.clear()
         with contextlib.ExitStack() as stack:
             stack.enter_context(patch())
             try:
--- a/tools/service.py
+++ b/tools/service.py
@@ -8,7 +8,7 @@
 
 import collections
 
-import tools.judge as judge
+import tools.recorded as recorded
 
 FIRST = 1.0  # s; the brief: begin within about a second
 WHOLE = collections.defaultdict(lambda: 8.0, flag=2.5)  # s; and be whole within this
@@ -44,7 +44,7 @@
 def figures(history):
     """kind -> [asked, served, begun within FIRST, whole in time]."""
     table = collections.defaultdict(lambda: [0, 0, 0, 0])
-    for rows in judge.asks(history).values():
+    for rows in recorded.asks(history).values():
         row = table[rows[0]["kind"]]
         row[0] += 1
         if rows[-1]["end"] == "whole":
--- a/tools/service_table.py
+++ b/tools/service_table.py
@@ -5,6 +5,7 @@
 
 import collections
 
+import tools.deployments as deployments
 import tools.service as service
 import tools.simulate as simulate
 import tools.simulator.days as days
@@ -13,7 +14,7 @@
 def main():
     seeds, count = simulate.seeds_and_jobs("service per day and kind of request", "1-3")
     print("| day | deployment | kind | asked | served | begun in 1 s | in time |\n|---|---|---|---|---|---|---|")
-    jobs = [(n, s, d, "brief") for n in days.DAYS for d in sorted(simulate.fleet.real_fleet.DEPLOYMENTS) for s in seeds]
+    jobs = [(n, s, d, "brief") for n in days.DAYS for d in sorted(deployments.DEPLOYMENTS) for s in seeds]
     sums = collections.defaultdict(lambda: [0, 0, 0, 0])
     for (name, seed, deployment, size), (broken, table) in simulate.many(jobs, count, day_figures):
         for kind, row in table.items():
--- a/tools/simulate.py
+++ b/tools/simulate.py
@@ -9,7 +9,8 @@
 import sys
 import traceback
 
-import tools.judge as judge
+import tools.deployments as deployments
+import tools.judge_traffic as judge_traffic
 import tools.service as service
 import tools.simulator.day_base as day_base
 import tools.simulator.days as days
@@ -24,7 +25,7 @@
 
 
 def shape_of(deployment, size):
-    plan = fleet.real_fleet.DEPLOYMENTS[deployment]
+    plan = deployments.DEPLOYMENTS[deployment]
     return (
         {"routers": plan["machines"], "replicas": plan["replicas"], "keepers": plan["disks"]} if size == "brief" else {}
     )
@@ -45,7 +46,7 @@
     f.load(f.plan["rate"] if size == "brief" else RATE, length)
     f.run(length + 2)
     broken = end_of_day.close(f)
-    broken["nothing dropped"] = judge.nothing_dropped(
+    broken["nothing dropped"] = judge_traffic.nothing_dropped(
         f.rows,
         f.ledger,
         {n: m.hits for n, m in f.machines.items()},
@@ -53,13 +54,13 @@
         f.names("keep"),
     )
     if name in GENTLE:
-        broken["nothing bounced"] = judge.nothing_bounced(f.rows)
+        broken["nothing bounced"] = judge_traffic.nothing_bounced(f.rows)
     broken["pool whole"] = end_of_day.pool_whole(f)
     broken["in time"] = service.in_time(
         f.rows, service.floor(name, size), None if back is None else start + back + BACK
     )
     if name == "tenant_rush":
-        broken["none starved"] = judge.none_starved(f.rows, f.plan["tenants"][0])
+        broken["none starved"] = judge_traffic.none_starved(f.rows, f.plan["tenants"][0])
     broken = {rule: found for rule, found in broken.items() if found}
     f.back = None if back is None else start + back + BACK
     if back is not None:
@@ -128,7 +129,7 @@
     parser = argparse.ArgumentParser(description="simulated days over many seeds")
     parser.add_argument("--day", default="all", help="a day's name, several with commas, or all")
     parser.add_argument("--seeds", default="1-5", help="first-last")
-    parser.add_argument("--deployment", default="patinetes", choices=sorted(fleet.real_fleet.DEPLOYMENTS))
+    parser.add_argument("--deployment", default="patinetes", choices=sorted(deployments.DEPLOYMENTS))
     parser.add_argument("--size", default="small", choices=["small", "brief"], help="brief: the deployment's own size")
     parser.add_argument("--jobs", type=int, default=1, help="days run at once, each in a process of its own")
     args = parser.parse_args()
--- a/tools/simulator/end_of_day.py
+++ b/tools/simulator/end_of_day.py
@@ -3,6 +3,7 @@
 import collections
 
 import tools.judge as judge
+import tools.judge_traffic as judge_traffic
 
 
 def control(f):
@@ -49,7 +50,7 @@
     f.run(17.0)
     final = box[0][1] if box and box[0][0] == 200 else None
     rules = judge.all_rules(f.rows, f.ledger, f.writes, f.list.history(), final, f.refused, grace=0.0)
-    rules["freed"] = judge.freed(f.ledger, f.loop.time - rest, f.lapse)
+    rules["freed"] = judge_traffic.freed(f.ledger, f.loop.time - rest, f.lapse)
     rules["control whole"] = control(f)
     rules["read back"] = [] if final else ["the configuration could not be read back"]
     rules["no crash inside"] = [f"{at:.2f} {who}: {e!r}" for at, who, e in f.loop.faults]
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -13,11 +13,12 @@
 import mothshed.data_plane.router as router_module
 import mothshed.data_plane.router_front as router_front
 import tools.callers as callers
-import tools.fleet as real_fleet
+import tools.deployments as deployments
 import tools.replica_memory as replica_memory
 import tools.simulator.desk as desk_module
 import tools.simulator.loop as loop_module
 import tools.simulator.network as network
+import tools.simulator.operator_client as operator_client
 import tools.stand_in_list as stand_in_list
 import tools.stand_in_replica as stand_in_replica
 
@@ -27,7 +28,7 @@
         self.loop = loop_module.Loop(seed)
         self.net = network.Network(self.loop)
         self.random = random.Random(f"{seed}/faults")
-        self.plan, self.deployment, self.seed = real_fleet.DEPLOYMENTS[deployment], deployment, seed
+        self.plan, self.deployment, self.seed = deployments.DEPLOYMENTS[deployment], deployment, seed
         self.machines, self.disks, self.parts, self.settings = {}, {}, {}, {}
         self.ledger, self.rows, self.writes, self.refused, self.unknown = [], [], [], [], []
         self.router_deaths = []
@@ -37,6 +38,7 @@
         self.lapse = False  # whether held memory may end by lapsing
         self.outside = self.machine("outside")
         self.ops = self.desk(self.outside, "10.0.0.1:1")
+        self.operator_client = operator_client.OperatorClient(self, self.ops)
         self.list = stand_in_list.PlatformList(lag, lambda: self.loop.time)
         self.net.apps["10.0.0.2:80"] = (self.machine("list"), self.list)
         self.seeds = [f"10.1.0.{at + 1}:70" for at in range(keepers)]
@@ -197,41 +199,11 @@
 
     def ask(self, method, path, body=None, most=8):
         """One operator's question to the keepers, tried until answered."""
-        chance = self.random
-        for turn in range(most):
-            url = f"http://{chance.choice(self.http('keep'))}{path}"
-            try:
-                for hop in range(4):
-                    response = self.ops.web.send(method, url, body, read=2.0)
-                    status, said = response.status, response.body()
-                    if status != 307:
-                        break
-                    url = response.headers.get("location")
-                if status not in (503, 307):
-                    return status, said
-            except network.web.WebFault:
-                pass
-            self.ops.pause(0.4)
-        return 0, {}
+        return self.operator_client.ask(method, path, body, most)
 
     def apply(self, mark, base=None, body=None, most=8):
         """Writes a document; the end is recorded for the judge."""
-        mark += self.turn
-        if base is None:
-            status, said = self.ask("GET", "/configuration")
-            if status != 200:
-                return
-            base = said["latest"]
-        body = body or real_fleet.document(self.deployment, note=mark)
-        status, said = self.ask(
-            "PUT", "/configuration", {"base": base, "document": body, "id": mark, "by": "sim"}, most
-        )
-        if status == 200:
-            self.writes.append({"id": mark, "sequence": said["sequence"], "acked": self.loop.time, "base": base})
-        elif status == 409:
-            self.refused.append(mark)
-        else:
-            self.unknown.append(mark)
+        self.operator_client.apply(mark, base, body, most)
 
     def ready(self, most=20.0, body=None):
         """Runs until the first document is active and every replica has a role."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -17,8 +17,9 @@
 import threading
 import time
 
+import tools.deployments as deployments
 import tools.fleet_run as fleet_run
-import tools.judge as judge
+import tools.recorded as recorded
 import tools.simulate as simulate
 import tools.simulator.days as days
 import tools.simulator.end_of_day as end_of_day
@@ -65,14 +66,14 @@
     f.load(f.plan["rate"], minutes * 60)
     f.run(minutes * 60 + GAP)
     broken = end_of_day.close(f)
-    whole = sum(rows[-1]["end"] == "whole" for rows in judge.asks(f.rows).values())
+    whole = sum(rows[-1]["end"] == "whole" for rows in recorded.asks(f.rows).values())
     tables = {
         "kept for neighbours": max(len(f.parts[n].guard.kept) for n in f.names("route")),
         "frees left": max(f.parts[n].frees.left() for n in f.names("route")),
         "log entries": max(len(m.log.entries) for n in f.names("keep") for m in f.parts[n].members),
         "documents": max(len(f.parts[n].members[0].machine.docs) for n in f.names("keep")),
     }
-    return job, broken, (len(done), len(judge.asks(f.rows)), whole, len(f.writes), tables)
+    return job, broken, (len(done), len(recorded.asks(f.rows)), whole, len(f.writes), tables)
 
 
 def sample(fleet):
@@ -123,7 +124,7 @@
     parser.add_argument("--seeds", default="1-2")
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=240)
-    parser.add_argument("--deployment", default="patinetes", choices=sorted(simulate.fleet.real_fleet.DEPLOYMENTS))
+    parser.add_argument("--deployment", default="patinetes", choices=sorted(deployments.DEPLOYMENTS))
     args = parser.parse_args()
     seeds = simulate.checked_seeds(parser, args)
     if args.minutes < 1 or args.seconds < 30:
--- a/tools/stand_in_replica.py
+++ b/tools/stand_in_replica.py
@@ -16,6 +16,7 @@
 import mothshed.common.web as web
 import mothshed.common.world as world
 import tools.replica_memory as replica_memory
+import tools.token_stream as token_stream
 
 THREADS = 64
 
@@ -204,44 +205,7 @@
             digest=replica_memory.digest_of(self.prompt(path, body)),
         )
         start("200 OK", [("Content-Type", "text/event-stream"), ("X-Request-Id", request)])
-        return Tokens(self, path, request, body, digest, run)
-
-
-class Tokens:
-    """The decode's stream; each token names its place, its run and the memory it came from."""
-
-    def __init__(self, replica, path, request, body, digest, run):
-        self.m, self.path, self.request, self.run = replica.memory, path, request, run
-        self.count = body.get("max_tokens", 16)
-        self.rows = self.events(digest)
-        self.open = True
-
-    def __iter__(self):
-        return self.rows
-
-    def events(self, digest):
-        m = self.m
-        for at in range(self.count):
-            m.desk.pause(m.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
-            if m.fault.get("cut_after") == at:
-                raise ConnectionAbortedError("cut by a fault")
-            if m.fault.get("error_after") == at:
-                yield b'data: {"error": {"message": "engine failed"}}\n\n'
-                return
-            text, finish = f"{at}.{self.run}.{digest} ", "stop" if at == self.count - 1 else None
-            choice = {"index": 0, "text": text, "finish_reason": finish}
-            if self.path == "/v1/chat/completions":
-                choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
-            chunk = {"id": f"cmpl-{self.request}", "object": "text_completion", "choices": [choice]}
-            yield b"data: " + json.dumps(chunk).encode() + b"\n\n"
-        yield b"data: [DONE]\n\n"
-        m.ledger.add("decoded", request=m.callers[self.request], run=self.run, tokens=self.count)
-
-    def close(self):
-        if self.open:
-            self.open = False
-            self.rows.close()
-            self.m.give_slot()
+        return token_stream.TokenStream(self, path, request, body, digest, run)
 
 
 def main():
--- /dev/null
+++ b/tools/weakened.py
@@ -0,0 +1,141 @@
+"""Each protection's weakened form, put in its place while `tools.protections` plays its day."""
+
+import contextlib
+import unittest.mock
+
+import mothshed.common.constants as constants
+import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.replicas as replicas
+import mothshed.common.verdict as verdict
+import mothshed.control_plane.orders as orders
+import mothshed.control_plane.service_part as service_part
+import mothshed.data_plane.admission as admission
+import mothshed.data_plane.carry as carry
+
+
+def put(owner, **changes):
+    """A patch of several attributes of one owner."""
+    return lambda: unittest.mock.patch.multiple(owner, **changes)
+
+
+def repeat_unsafe(self, e):
+    if self.chart.state == "relaying":
+        raise verdict.StreamBroken(str(e)) from e
+    if self.desk.now() >= self.request.cutoff:  # or it would go round without end
+        self.end()
+
+
+def count_alone(self):
+    """Commits what the owner alone has written."""
+    if self.log.last > self.commit:
+        self.commit = self.log.last
+        self.apply_all()
+
+
+def stage_anyway(self, command):
+    self.latest += 1
+    self.docs[self.latest] = {"doc": command["doc"], "by": command["by"], "id": command["id"]}
+    self.changed("stage", self.latest)
+    return {"sequence": self.latest}
+
+
+def activate_at_once(self):
+    m = self.machine
+    if self.on and m.latest > m.active and not self.asking:
+        self.asking = True
+        self.member.propose({"op": "activate", "sequence": m.latest}, self.activated)
+
+
+def take_level(self, index, command):
+    if command["op"] == "take":
+        self.holder, self.standing = command["who"], 1
+        return {"standing": 1}
+    return APPLY(self, index, command)
+
+
+def confirm_alone(self, call):
+    call(True)
+
+
+def sync_nothing(self, name):
+    pass
+
+
+def deaf_to_leaving(self, rows):
+    TAKE_LIST(self, {n: {**r, "leaving": False} for n, r in rows.items()})
+
+
+def bounce_late(self, request, share, make_plan, again=False):
+    self.desk.pause(5.0)
+    raise verdict.Bounce(503, "late", 1)
+
+
+def bounce_some(self):
+    """A router that bounces every third request without need."""
+    TICKETS.append(None)
+    if len(TICKETS) % 3 == 0:
+        self.chart.step("bounce")
+        raise verdict.Bounce(503, "without need", 1)
+    return ADMIT(self)
+
+
+def alone(self, selector):
+    """Each part plans for its own replicas as if they were the pool."""
+    ours, rest, rank = SHARED(self, selector)
+    return ours, {}, 0
+
+
+def stop_at_once(self, most):
+    with self.lock:
+        self.stopping = True
+    return True
+
+
+def first_come(self):
+    """One queue for all tenants, in the order of arrival."""
+    rows = [t for q in self.queues.values() for t in q]
+    return min(rows, key=lambda t: t.born, default=None)
+
+
+def ticket(self, tenant, share, gate):
+    self.tenant, self.share, self.gate = tenant, share, gate
+    TICKETS.append(None)
+    self.born = len(TICKETS)
+
+
+def first_come_first_served():
+    """All queues as one, unbounded per tenant, as a plain queue would be."""
+    stack = contextlib.ExitStack()
+    stack.enter_context(put(admission.Admission, head=first_come)())
+    stack.enter_context(put(admission.Ticket, __init__=ticket)())
+    stack.enter_context(put(constants, QUEUE_TENANT=constants.QUEUE_MOST)())
+    return stack
+
+
+def any_handle(desk_, request, name, place, sequence, left, ready):
+    handle = PREFILL(desk_, request, name, place, sequence, left, ready)
+    KEPT.append(handle)
+    other = next((h for h in KEPT[:-1] if h.replica == handle.replica), handle)
+    return replica_adapter.Handle(name, handle.replica, handle.address, other.engine, other.params, handle.born)
+
+
+def loose_ends(self):
+    """A stream whose end is taken for whole wherever it is cut."""
+    rows = []
+    try:
+        for row in ITER(self):
+            rows.append(row)
+            yield row
+    except verdict.SendFailure:
+        if not rows:
+            raise
+
+
+ADMIT = carry.Carry.admit
+SHARED = orders.OrderDuty.shared
+APPLY = service_part.ServiceMachine.apply
+TAKE_LIST = replicas.Replicas.take_list
+PREFILL = replica_adapter.prefill
+ITER = replica_adapter.Stream.__iter__
+KEPT = []
+TICKETS = []
--- a/tools/weight.py
+++ b/tools/weight.py
@@ -1,11 +1,12 @@
 """How much each rule had to judge on one day: a rule with nothing to judge proves nothing."""
 
 import tools.judge as judge
+import tools.recorded as recorded
 
 
 def weights(f, back=None):
     """rule -> things it judged. back: the moment from which service must be whole again."""
-    arrived = judge.arrivals(f.ledger)
+    arrived = recorded.arrivals(f.ledger)
     first_seen = {}
     for row in sorted(arrived, key=lambda r: r["at"]):
         first_seen.setdefault(row["sequence"], row["at"])
@@ -14,10 +15,10 @@
     safe = {r["id"]: r["safe"] for r in f.rows}
     asked = {r["id"] for r in f.rows}
     return {
-        "never twice": len({r["request"] for r in judge.runs(f.ledger) if not safe.get(r["request"], False)}),
-        "bounced never ran": sum(judge.bounced(r) for r in f.rows),
+        "never twice": len({r["request"] for r in recorded.runs(f.ledger) if not safe.get(r["request"], False)}),
+        "bounced never ran": sum(recorded.bounced(r) for r in f.rows),
         "whole and own": sum(bool(r["text"]) for r in f.rows),
-        "own memory": len(judge.runs(f.ledger, "decode")),
+        "own memory": len(recorded.runs(f.ledger, "decode")),
         "new after ack": sum(any(r["at"] > at + judge.GAP_OLD for at in acked) for r in arrived),
         "no fall back": sum(any(r["at"] > at + judge.GAP_BACK for at in latest[1:]) for r in arrived),
         "writes kept": len(f.writes) + len(f.refused),
