Configuration state kept small; a durable record of taken orders beside it

Routers were sent every staged document with both forms, and again on every push and grant until their acknowledgement; a grant set a holder's `staged` back to what its older ask had said, so the documents went out once more.

Now: documents kept are the active one, the 4 newest staged ones and at most 16 older ones in 64 KB. Routers get the newest document, and the active one if they skipped it, without `as_sent`, and none twice within a short lease. `held` of an ask now says what is served.

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -23,7 +23,8 @@
 FIRST_MEMBERS = 3  # members; the brief's deployments have three disk machines.
 PARTS = 4  # parts; part 0 is configuration, services hash over the rest.
 DISK_RETRY = 0.5  # s; a disk that failed is tried this often; then the keeper starts anew.
-COMMIT_WAIT = 3.0  # s; an operator's write unresolved by then is answered "unknown".
+COMMIT_WAIT = 3.0  # s; longest wait for a call in another mailbox, such as a hand-over.
+OPERATOR_WAIT = 0.8  # s; an operator's call unresolved by then is answered: callers leave after 1 s of silence.
 
 # --- configuration leases ------------------------------------------------
 LEASE_LONG = 1.4  # s; lease while no change is under way; bridges most elections.
@@ -34,7 +35,14 @@
 ASK_MOST = 5  # keepers asked at once while no owner is known: three, and two that replace some.
 OLD_GRANTS = 1.6  # s; after a stage is committed no older lease is granted past this.
 LEASE_WAIT = 2.5  # s; a request waits this long for a lease before it is bounced.
-HISTORY = 64  # documents kept for read-back.
+HISTORY = 16  # documents older than the active one that are kept for operators to read.
+HISTORY_BYTES = 65536  # bytes; and together no more than this, since every snapshot carries them.
+STAGED_MOST = 4  # staged documents kept beside the active one: routers are sent the newest only.
+HOLDER_LIFE = 14.0  # s; a leaseholder silent for longer, ten long leases, is sent no more news.
+RESEND_AFTER = 0.18  # s; a document on its way to a router is not sent again sooner: one short lease.
+TAKEN_MOST = 16384  # orders remembered as taken: six days of 2,600 changes, 0.5 MB of a snapshot.
+DIGEST_BYTES = 16  # bytes of an order's digest: no two of one record's orders are ever alike.
+SEQUENCE_MOST = 9007199254740991  # highest sequence: 2**53 - 1, which every JSON reader holds exactly.
 
 # --- orders to replicas --------------------------------------------------
 TURN_GAP = 3.2  # s; a new holder waits this long before its first order (brief: 3).
--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -40,7 +40,7 @@
         self.asked[self.mark] = now
         self.asked.pop(self.mark - 50, None)
         for goal in [self.owner] if self.owner else self.some_keepers():
-            self.desk.tell(goal, "ask", part=0, mark=self.mark, held=self.number, staged=self.staged)
+            self.desk.tell(goal, "ask", part=0, mark=self.mark, held=self.active, staged=self.staged)
 
     def some_keepers(self):
         """While no owner is known: a few at once, in a steady order so that none is passed over."""
--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -9,12 +9,21 @@
 document is active, and waits out a whole LEASE_LONG before that.
 """
 
+import dataclasses
+import json
+
 import mothshed.common.constants as constants
+import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.control_plane.taken_orders as taken_orders
 
 
 class ConfigMachine:
+    """The replicated state: documents still needed, and the record of taken orders."""
+
     def __init__(self):
         self.docs = {}  # sequence -> {"doc", "by", "id"}
+        self.sizes = {}  # sequence -> bytes of that row as JSON
+        self.taken = taken_orders.TakenOrders()
         self.latest = self.active = 0
         self.changed = lambda kind, sequence: None
 
@@ -23,40 +32,91 @@
             return self.stage(command)
         if command["op"] == "activate" and self.active < command["sequence"] in self.docs:
             self.active = command["sequence"]
-            for old in sorted(self.docs)[: -constants.HISTORY]:
-                if old < self.active:
-                    del self.docs[old]
+            self.drop_documents()
             self.changed("activate", self.active)
         return {"active": self.active}
 
-    def stage(self, command):
-        for sequence, row in self.docs.items():
-            if row["id"] == command["id"]:
-                return {"sequence": sequence}
+    def known_result(self, command):
+        """What a stage command would come to if it changes nothing; None if it would be taken."""
+        sequence = self.taken.sequence_of(command["id"])
+        if sequence is not None:
+            return {"sequence": sequence}
         if command["base"] != self.latest:
+            if self.taken.may_have_dropped(command["base"]):
+                return {"unknown": command["base"]}
             return {"conflict": self.latest}
-        wanted = command.get("sequence", self.latest + 1)
-        if wanted <= self.latest:
+        if command.get("sequence", self.latest + 1) <= self.latest:
             return {"low": self.latest}
-        self.latest = wanted
+        return None
+
+    def stage(self, command):
+        known = self.known_result(command)
+        if known:
+            return known
+        self.latest = command.get("sequence", self.latest + 1)
         self.docs[self.latest] = {"doc": command["doc"], "by": command["by"], "id": command["id"]}
+        self.taken.add(command["id"], self.latest)
+        self.drop_documents()
         self.changed("stage", self.latest)
         return {"sequence": self.latest}
 
+    def drop_documents(self):
+        """Keeps the active document, the newest staged ones and a history bounded in count and bytes."""
+        staged = sorted(s for s in self.docs if s > self.active)
+        older = sorted((s for s in self.docs if s < self.active), reverse=True)
+        dropped, total = staged[: -constants.STAGED_MOST], 0
+        for place, sequence in enumerate(older):
+            total += self.size_of(sequence)
+            if place >= constants.HISTORY or total > constants.HISTORY_BYTES:
+                dropped = dropped + older[place:]
+                break
+        for sequence in dropped:
+            del self.docs[sequence]
+            self.sizes.pop(sequence, None)
+
+    def size_of(self, sequence):
+        if sequence not in self.sizes:
+            self.sizes[sequence] = len(json.dumps(self.docs[sequence]))
+        return self.sizes[sequence]
+
     def dump(self):
-        return {"latest": self.latest, "active": self.active, "docs": sorted(self.docs.items())}
+        return {
+            "latest": self.latest,
+            "active": self.active,
+            "docs": sorted(self.docs.items()),
+            "taken": self.taken.dump(),
+        }
 
     def restore(self, state):
         self.latest, self.active = state["latest"], state["active"]
-        self.docs = {int(s): row for s, row in state["docs"]}
+        self.docs, self.sizes = {int(s): row for s, row in state["docs"]}, {}
+        self.taken = taken_orders.TakenOrders()
+        if "taken" in state:
+            self.taken.restore(state["taken"])
+        else:  # a snapshot from before the record: its documents are the orders it remembers
+            for sequence, row in sorted(self.docs.items()):
+                self.taken.add(row["id"], sequence)
+            self.taken.floor = min(self.docs, default=0)
+
+
+@dataclasses.dataclass
+class Leaseholder:
+    """What the owner knows of one process that serves under its leases."""
+
+    until: float = 0.0  # when its newest lease has surely lapsed
+    staged: int = 0  # the newest sequence that it has said it holds
+    active: int = 0  # the sequence that it serves under
+    asked: float = 0.0  # when it last asked
+    sent: dict = dataclasses.field(default_factory=dict)  # sequence -> when its document was last sent
 
 
 class ConfigDuty:
     def __init__(self, member):
         self.member, self.machine, self.desk = member, member.machine, member.desk
         self.on = False
-        self.holders = {}  # address -> {"until", "staged"}
+        self.holders = {}  # address -> Leaseholder
         self.staged_at = {}  # sequence -> when it was committed under this owner
+        self.inherited = 0  # the newest sequence at the start of this ownership
         self.acks = {}  # news number -> addresses
         self.number = 0
         self.asking = False
@@ -69,6 +129,7 @@
     def start(self):
         self.on, self.asking = True, False
         self.holders, self.staged_at, self.acks = {}, {}, {}
+        self.inherited = self.machine.latest
         self.number = self.member.log.term * 1000000
         self.started = self.desk.now()
         for address, (at, mark) in self.lost.items():
@@ -90,14 +151,24 @@
             return
         if kind == "stage":
             self.staged_at[sequence] = self.desk.now()
+        else:
+            self.staged_at = {s: at for s, at in self.staged_at.items() if s > sequence}
         self.push()
         if kind == "stage":
             self.try_activate()
 
-    def docs_after(self, staged):
-        return [
-            [s, row["doc"]] for s, row in sorted(self.machine.docs.items()) if s > staged and s >= self.machine.active
-        ]
+    def docs_for(self, holder):
+        """The documents that a holder needs and that are not on their way: the newest and the active one."""
+        machine, now = self.machine, self.desk.now()
+        holder.sent = {s: at for s, at in holder.sent.items() if now - at < constants.RESEND_AFTER}
+        needed = set()
+        if holder.staged < machine.latest:
+            needed.add(machine.latest)
+        if holder.active < machine.active != holder.staged:
+            needed.add(machine.active)
+        due = sorted(s for s in needed if s in machine.docs and s not in holder.sent)
+        holder.sent.update((s, now) for s in due)
+        return [[s, delivered_form(machine.docs[s]["doc"])] for s in due]
 
     def push(self):
         self.number += 1
@@ -110,34 +181,35 @@
                 part=0,
                 number=self.number,
                 active=self.machine.active,
-                docs=self.docs_after(holder["staged"]),
+                docs=self.docs_for(holder),
             )
 
     def on_ask(self, sender, body):
         if not (self.on and self.member.owns):
-            m = self.member
-            fresh = m.owner and self.desk.now() - m.heard < constants.OWNER_FRESH
-            owner = m.place_of(m.owner) if fresh else ""
+            owner = leader_hint.leader_address(self.member)
             self.lost[sender] = (self.desk.now(), body["mark"])
             self.desk.tell(sender, "look_elsewhere", part=0, mark=body["mark"], owner=owner)
             return
+        holder = self.holders.setdefault(sender, Leaseholder())
+        holder.staged, holder.active = body["staged"], body["held"]  # a restarted process holds less than before
+        holder.asked = self.desk.now()
         self.member.confirm(lambda good: good and self.grant(sender, body))
 
     def length(self):
-        m, now = self.machine, self.desk.now()
-        if m.latest == m.active:
+        machine, now = self.machine, self.desk.now()
+        if machine.latest == machine.active:
             return constants.LEASE_LONG
-        since = self.staged_at.get(min(s for s in m.docs if s > m.active))
-        if since is None or now > since + constants.OLD_GRANTS:
+        if machine.active < self.inherited:  # staged under another owner: acknowledged nobody knows when
+            return 0.0
+        if now > min(self.staged_at.values(), default=0.0) + constants.OLD_GRANTS:
             return 0.0
         return constants.LEASE_SHORT
 
     def grant(self, sender, body):
         now, length = self.desk.now(), self.length()
-        holder = self.holders.setdefault(sender, {"until": 0.0, "staged": 0})
-        holder["staged"] = body["staged"]
+        holder = self.holders.setdefault(sender, Leaseholder(staged=body["staged"], active=body["held"]))
         if length:
-            holder["until"] = max(holder["until"], now + length + constants.LEASE_SLACK)
+            holder.until = max(holder.until, now + length + constants.LEASE_SLACK)
         self.desk.tell(
             sender,
             "grant",
@@ -146,31 +218,31 @@
             length=length,
             number=self.number,
             active=self.machine.active,
-            docs=self.docs_after(body["staged"]),
+            docs=self.docs_for(holder),
             owner=self.member.who,
         )
 
     def on_news_ack(self, sender, body):
         self.acks.get(body["number"], set()).add(sender)
         holder = self.holders.get(sender)
-        if holder and body["staged"] > holder["staged"]:
-            holder["staged"] = body["staged"]
+        if holder and body["staged"] > holder.staged:
+            holder.staged = body["staged"]
             if body["staged"] > self.machine.active:
                 cut = self.desk.now() + constants.LEASE_SHORT + constants.LEASE_SLACK
-                holder["until"] = min(holder["until"], cut)
+                holder.until = min(holder.until, cut)
             self.try_activate()
 
     def try_activate(self):
-        m, now = self.machine, self.desk.now()
-        for address in [a for a, h in self.holders.items() if h["until"] < now - 10 * constants.LEASE_LONG]:
+        machine, now = self.machine, self.desk.now()
+        for address in [a for a, h in self.holders.items() if max(h.until, h.asked) < now - constants.HOLDER_LIFE]:
             del self.holders[address]
-        if not self.on or m.latest == m.active or self.asking:
+        if not self.on or machine.latest == machine.active or self.asking:
             return
         if now < self.started + constants.LEASE_LONG + constants.LEASE_SLACK:
             return
-        held = [h["staged"] for h in self.holders.values() if h["until"] > now]
-        goal = min([m.latest] + held)
-        if goal > m.active:
+        reached = min([machine.latest] + [h.staged for h in self.holders.values() if h.until > now])
+        goal = max((s for s in machine.docs if machine.active < s <= reached), default=0)
+        if goal:
             self.asking = True
             self.member.propose({"op": "activate", "sequence": goal}, self.activated)
 
@@ -180,7 +252,12 @@
     def report(self):
         now = self.desk.now()
         return {
-            "leaseholders": sum(h["until"] > now for h in self.holders.values()),
+            "leaseholders": sum(h.until > now for h in self.holders.values()),
             "news": self.number,
             "acknowledged_by": sorted(self.acks.get(self.number, ())),
         }
+
+
+def delivered_form(document):
+    """The document as processes that serve need it: without the text that its operator sent."""
+    return {key: value for key, value in document.items() if key != "as_sent"}
--- /dev/null
+++ b/mothshed/control_plane/leader_hint.py
@@ -0,0 +1,18 @@
+"""Which leader of a part may be named to those who ask at another member."""
+
+import mothshed.common.constants as constants
+
+
+def recent_leader(member):
+    """The id of a leader other than this member that was heard of lately, or ""."""
+    if not member.owner or member.owner == member.who:
+        return ""
+    if member.desk.now() - member.heard >= constants.OWNER_FRESH:
+        return ""
+    return member.owner
+
+
+def leader_address(member):
+    """The address of that leader for records between processes, or ""."""
+    leader = recent_leader(member)
+    return member.place_of(leader) if leader else ""
--- a/mothshed/control_plane/list_duty.py
+++ b/mothshed/control_plane/list_duty.py
@@ -10,6 +10,7 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.web as web
+import mothshed.control_plane.leader_hint as leader_hint
 
 
 class ListDuty:
@@ -84,10 +85,8 @@
     def on_ask(self, sender, body):
         member = self.member
         if not (self.on and member.owns):
-            fresh = member.owner and self.desk.now() - member.heard < constants.OWNER_FRESH
-            self.desk.tell(
-                sender, "look_elsewhere", part=member.part, mark=0, owner=member.place_of(member.owner) if fresh else ""
-            )
+            owner = leader_hint.leader_address(member)
+            self.desk.tell(sender, "look_elsewhere", part=member.part, mark=0, owner=owner)
             return
         self.holders[sender] = [body["number"], self.desk.now()]
         if self.rows:
--- /dev/null
+++ b/mothshed/control_plane/taken_orders.py
@@ -0,0 +1,60 @@
+"""The durable record of taken orders, kept apart from the documents they brought.
+
+An operator whose answer was lost sends the same order again, perhaps hours and hundreds
+of changes later. The record maps the digest of an order's id to the sequence it was
+given, oldest first, for the newest TAKEN_MOST orders. Each taken order builds on the
+sequence of the one before it, so an order can only be a forgotten one if its base is
+below `floor`, the sequence of the newest order that was dropped.
+
+>>> taken = TakenOrders(most=2)
+>>> for sequence in (5, 6, 9):
+...     taken.add(f"order {sequence}", sequence)
+>>> taken.sequence_of("order 9"), taken.sequence_of("order 5")
+(9, None)
+>>> taken.may_have_dropped(0), taken.may_have_dropped(5)
+(True, False)
+"""
+
+import base64
+import hashlib
+import struct
+
+import mothshed.common.constants as constants
+
+ENTRY = struct.Struct(f"!{constants.DIGEST_BYTES}sq")
+
+
+def digest_of(order_id):
+    """A digest of fixed length, whatever an operator's ids look like."""
+    return hashlib.blake2b(order_id.encode("utf-8", "surrogatepass"), digest_size=constants.DIGEST_BYTES).digest()
+
+
+class TakenOrders:
+    """Order id -> sequence for the newest orders, and a floor below which nothing is known."""
+
+    def __init__(self, most=constants.TAKEN_MOST):
+        self.most = most
+        self.sequences = {}  # digest -> sequence, oldest first
+        self.floor = 0
+
+    def add(self, order_id, sequence):
+        self.sequences[digest_of(order_id)] = sequence
+        while len(self.sequences) > self.most:
+            oldest = next(iter(self.sequences))
+            self.floor = self.sequences.pop(oldest)
+
+    def sequence_of(self, order_id):
+        """The sequence an order was given, or None if the record does not hold it."""
+        return self.sequences.get(digest_of(order_id))
+
+    def may_have_dropped(self, base):
+        """Whether an order on this base that the record does not hold may have been taken once."""
+        return base < self.floor
+
+    def dump(self):
+        packed = b"".join(ENTRY.pack(digest, sequence) for digest, sequence in self.sequences.items())
+        return {"floor": self.floor, "orders": base64.b64encode(packed).decode()}
+
+    def restore(self, state):
+        self.floor = state["floor"]
+        self.sequences = dict(ENTRY.iter_unpack(base64.b64decode(state["orders"])))
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -104,7 +104,9 @@
     news = dict(part=0, number=1, active=1, docs=[[2, doc]])
     data = records.pack("news", **news)
     machine = config_part.ConfigMachine()
-    machine.docs = {at: row for at in range(1, constants.HISTORY + 1)}
+    for at in range(2 * constants.HISTORY):
+        machine.apply(0, {"op": "stage", "base": at, **row, "id": f"order {at}"})
+        machine.apply(0, {"op": "activate", "sequence": at + 1})
     state = design.packed(machine.dump())
     entries = constants.APPEND_MOST // 2 * design.packed([{"i": 1, "t": 1, "c": {"op": "stage", **row, "base": 1}}])
     return {
