A whole answer on a closing connection is passed on whole

Cause: before each read of a body the delivery sets the socket's timeout. Once a response that said Connection: close is read to its end, its socket is closed, so setting it failed (EBADF); that was taken for a broken body, the caller's answer was cut before its last chunk and the replica was passed over for seconds. A socket given back to the pool by then had the timeout of its next exchange changed. Ruled out by reading: the idle limit (the connection is off the selector while a request is served).

--- a/mothshed/common/kept.py
+++ b/mothshed/common/kept.py
@@ -133,7 +133,12 @@
         self.whole = False
 
     def patience(self, span):
-        """Seconds the next reads wait, each."""
+        """Seconds the next reads wait, each.
+
+        Once the body is whole its socket is closed, or serves another exchange: it is left alone.
+        """
+        if not self.conn or self.sock.fileno() < 0:
+            return
         try:
             self.sock.settimeout(max(span, 0.01))
         except OSError as e:  # it has ended already
