A replica that began to leave while a prompt was read gets no late decode

Cause: the pair is planned before the prefill and the last check before the decode asked only for the lease; after a prefill of 3.3 s the decode went to a writer known as leaving for 3.1 s. Now the handle goes to another writer, and the last check asks whether the replica stays.

--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -138,6 +138,7 @@
         pair = self.pair = self.take_place(alone)
         if pair.reader:
             self.handle = self.prefill(pair)
+            self.keep_writer()
         self.may_send("decode")
         try:
             self.reply = self.speech.decode(
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -16,10 +16,11 @@
     """The part of Deliver that talks to replicas."""
 
     def check(self, role):
-        """The last check before a send: the lease still runs, the same one, and the budget has room."""
+        """The last check before a send: the lease still runs, the same one, and the replica still stays."""
+        place = self.pair.reader if role == "prefill" else self.pair.writer
 
         def ready():
-            if self.router.lease.sequence() != self.pair.sequence:
+            if self.router.lease.sequence() != self.pair.sequence or not self.staying(place):
                 return False
             if not (self.prefills or self.decodes):
                 self.router.budget.sent()
@@ -33,6 +34,16 @@
 
         return ready
 
+    def staying(self, place):
+        """Whether a replica is still listed and not shown leaving."""
+        return place.name in self.router.replicas.rows and place.name not in self.router.replicas.leaving()
+
+    def keep_writer(self):
+        """Another writer for the handle when the pair's began to leave while the prompt was read."""
+        pair = self.pair
+        if not self.staying(pair.writer):
+            self.router.placing.change_writer(pair, self.router.lease.document(), self.without)
+
     def may_send(self, role):
         """Takes an extra send from the budget if the next one is beyond the first."""
         extra = self.counted > 0 if role == "decode" else self.prefills > 0
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -205,6 +205,21 @@
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
             return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
+    def change_writer(self, pair, document, without=()):
+        """Moves a pair to another usable writer of its pool; leaves it as it is where there is none."""
+        row = (document or {"pools": {}})["pools"].get(pair.pool)
+        if row is None:
+            return
+        with self.lock, self.replicas.lock:
+            writers = self.replicas.usable(row["selector"], "decode" if "engine" in row else None)
+            writers = [n for n in writers if n not in without] or list(writers)
+            if not writers:
+                return
+            name = self.writer(writers, pair.reader.cell if pair.reader else self.cell)
+            self.replicas.end(pair.writer.name)
+            self.replicas.begin(name)
+            pair.writer = self.replicas.place(name)
+
     def take(self, sequence, pool, ask, reader, writer, unread, expected):
         self.replicas.begin(writer)
         if reader:
