Callers' connections: strict chunks, idle limits that never meet a request, whole last answers

Chunks: the library left a trailer (and the last empty line) in the connection, so that a worker waited on it and the watch shut the connection after 4 s of rest; took sizes such as 0x3, +3, -3; and a refusal before the body was read left chunks to be taken for a request. Malformed chunks now get 400 (was: 502). A close over unread bytes reset the connection and lost the answer (413): what still comes is read away for 0.3 s. Idle: a shorter limit took effect at once on connections that callers may still take up under the longer one; ages were read off the wall clock; a request that had arrived lost against the expiry. The limit also was the socket timeout of arriving bodies; it no longer is. Stop: the drain counted a request as over before its last chunk was written, and not at all before its body was read.

--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -13,8 +13,10 @@
 
 import cheroot.wsgi
 
+import mothshed.common.chunked as chunked
 import mothshed.common.constants as constants
 import mothshed.common.headers as headers
+import mothshed.common.idle as idle
 import mothshed.common.ring as ring
 import mothshed.common.world as world
 
@@ -65,6 +67,12 @@
     status, reason = 400, "the body is shorter than its length says"
 
 
+class BadFraming(BadBody):
+    """A chunked body that does not follow its framing."""
+
+    reason = "the body's chunks are malformed"
+
+
 class TooLarge(BadBody):
     """A request body over the limit."""
 
@@ -83,7 +91,10 @@
         return data
     if environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
         return b""
-    data = environ["wsgi.input"].read(most + 1)
+    try:
+        data = environ["wsgi.input"].read(most + 1)
+    except chunked.BadChunk as e:
+        raise BadFraming() from e
     if len(data) > most:
         raise TooLarge()
     return data
@@ -128,12 +139,26 @@
         super().__init__(
             (host, int(port)), app, numthreads=threads, request_queue_size=256, timeout=20, shutdown_timeout=1
         )
+        self.idle_limit = idle.IdleLimit(constants.IDLE_LIMIT)
         self.gateway, self.ConnectionClass = Gateway, headers.Connection
         self.max_request_header_size = constants.HEAD_MOST
         self.keep_alive_conn_limit = constants.KEPT_CALLERS
         self.watched = set()
         threading.Thread(target=self.watch, name="lines", daemon=True).start()
 
+    def prepare(self):
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = idle.IdleConnections(self)
+
+    def limit_idle(self, seconds):
+        """How long an idle connection may rest from now on; a longer limit before it runs out first."""
+        self.idle_limit.change(seconds, world.now())
+
+    def exchanging(self):
+        """Whether a request is arriving, being served, or its answer not wholly written."""
+        return any(conn.socket.fileno() >= 0 for conn in list(self.watched))
+
     def process_conn(self, conn):
         if not hasattr(conn, "arrived"):  # just accepted
             conn.arrived = conn.due = None
--- a/mothshed/common/headers.py
+++ b/mothshed/common/headers.py
@@ -6,8 +6,14 @@
 joined by a comma.
 """
 
+import socket
+
 import cheroot.server
 
+import mothshed.common.chunked as chunked
+import mothshed.common.constants as constants
+import mothshed.common.world as world
+
 ONCE = {b"Content-Length", b"Transfer-Encoding", b"Host"}
 
 
@@ -53,6 +59,47 @@
 class Request(cheroot.server.HTTPRequest):
     header_reader = Reader()
 
+    def respond(self):
+        """As the library does, but with a strict reader of chunked bodies."""
+        if not self.chunked_read:
+            super().respond()
+            return
+        self.rfile = chunked.ChunkedBody(self.conn.rfile)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+    def send_headers(self):
+        """A connection whose chunked body was not read to its end carries no further request."""
+        if self.chunked_read and not self.rfile.whole:
+            self.close_connection = True
+        super().send_headers()
+        self.conn.unread = self.close_connection
+
+    def simple_response(self, status, msg=""):
+        self.conn.unread = True
+        super().simple_response(status, msg)
+
 
 class Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = Request
+    unread = False  # the caller may have sent more than was read
+
+    def close(self):
+        if self.unread:
+            self.discard_input()
+        super().close()
+
+    def discard_input(self):
+        """Reads away what still comes: closing over unread bytes resets the connection and loses the answer."""
+        until = world.now() + constants.LINGER_TIME
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left := until - world.now()) > 0:
+                self.socket.settimeout(left)
+                if not self.socket.recv(constants.EOF_BYTES):
+                    return
+        except OSError:
+            pass
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -87,11 +87,15 @@
             self.stopping = True
         until = self.desk.now() + most
         while self.desk.now() < until:
-            if self.flight <= 0 and not self.frees.left():
+            if not self.busy():
                 return True
             self.desk.pause(constants.PLACE_BEAT)
         return False
 
+    def busy(self):
+        """Whether a request or its answer is under way, or a free is left to be sent."""
+        return self.flight > 0 or self.frees.left() > 0 or self.server is not None and self.server.exchanging()
+
     def ready(self):
         """Whether new user agents are welcome."""
         return not self.leaving and self.lease.sequence() is not None and bool(self.replicas.rows)
@@ -101,7 +105,7 @@
         limits = (self.lease.document() or {}).get("limits", {})
         if self.server and limits:
             self.server.max_request_header_size = limits.get("head_bytes", constants.HEAD_MOST)
-            self.server.timeout = limits.get("idle_s", self.server.timeout)
+            self.server.limit_idle(limits.get("idle_s", constants.IDLE_LIMIT))
 
     def condition(self):
         sequence = self.lease.sequence()
@@ -122,8 +126,7 @@
         }
 
     def front(self):
-        if self.speech:
-            self.server = front.Server(self.settings["http"], route_front.RouteFront(self), constants.FRONT_THREADS)
-            self.apply_limits()
-            return self.server
-        return front.Server(self.settings["http"], router_front.RouterFront(self), constants.FRONT_THREADS)
+        app = route_front.RouteFront(self) if self.speech else router_front.RouterFront(self)
+        self.server = front.Server(self.settings["http"], app, constants.FRONT_THREADS)
+        self.apply_limits()
+        return self.server
--- /dev/null
+++ b/tests/test_draining.py
@@ -0,0 +1,59 @@
+"""A router that is told to stop answers whole what it has read, and says so on its connections."""
+
+import http.client
+import socket
+import threading
+
+import tests.platform_site as platform_site
+
+
+def drained(site):
+    """A drain under way; the event is set once it has ended."""
+    ended = threading.Event()
+    threading.Thread(target=lambda: site.router.drain(8) and ended.set(), daemon=True).start()
+    platform_site.until(lambda: site.router.stopping)
+    return ended
+
+
+def test_a_stream_under_way_is_written_to_its_last_byte_before_the_drain_ends():
+    site = platform_site.Site()
+    host, (replica,) = site.service("d", facts={"events": 6, "gap": 0.1})
+    address, port = site.address.rsplit(":", 1)
+    conn = http.client.HTTPConnection(address, int(port), timeout=8)
+    conn.request("POST", "/p/x", b"prompt", {"Host": host, "Try-Id": "s", **platform_site.PROMPT})
+    response = conn.getresponse()
+    ended = drained(site)
+    assert not ended.is_set()
+    assert response.read() == platform_site.pieces(1, 6, 6)  # http.client raises on a missing last chunk
+    assert ended.wait(8)
+    conn.close()
+    site.stop()
+
+
+def test_a_request_that_is_still_arriving_is_waited_for_and_refused_as_not_run():
+    site = platform_site.Site()
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    address, port = site.address.rsplit(":", 1)
+    with socket.create_connection((address, int(port)), 8) as conn:
+        conn.sendall(b"POST /p/x HTTP/1.1\r\nHost: %b\r\nTry-Id: slow\r\nContent-Le" % host.encode())
+        platform_site.until(site.server.exchanging)
+        ended = drained(site)
+        assert not ended.wait(0.2)
+        conn.sendall(b"ngth: 3\r\n\r\nabc")
+        response = http.client.HTTPResponse(conn)
+        response.begin()
+        assert response.status == 503 and response.headers["Connection"] == "close" and response.headers["Retry-After"]
+        assert b"not_run" in response.read()
+        assert ended.wait(8) and replica.asked == []
+    site.stop()
+
+
+def test_answers_while_leaving_end_their_connection():
+    site = platform_site.Site()
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    assert "Connection" not in site.ask(host, prompt=False)[1].headers
+    site.router.leaving = True
+    own, answer = site.ask(host, prompt=False)
+    assert answer.complete and answer.headers["Connection"] == "close" and len(site.platform.ran(own)) == 1
+    assert site.ask("nobody.example", prompt=False)[1].headers["Connection"] == "close"
+    site.stop()
--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,167 @@
+"""Idle connections of callers: closed after the longest limit in force, never over a request."""
+
+import selectors
+import socket
+import threading
+import time
+import types
+
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.front as front
+import mothshed.common.idle as idle
+import mothshed.common.world as world
+import tests.bare_http as bare_http
+import tests.platform_site as platform_site
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that stands still until it is moved."""
+    found = types.SimpleNamespace(time=1000.0)
+    monkeypatch.setattr(world, "now", lambda: found.time)
+    return found
+
+
+@pytest.fixture
+def manager():
+    """The server's idle connections, with nobody selecting among them."""
+    server = front.Server("127.0.0.1:0", lambda environ, start: [], 1)
+    server.prepare()
+    yield server._connections
+    server.stop()
+
+
+class Conn:
+    def __init__(self, manager):
+        self.socket, self.other = socket.socketpair()
+        self.idle_since, self.closed = world.now(), False
+        manager._selector.register(self.socket.fileno(), selectors.EVENT_READ, data=self)
+
+    def close(self):
+        self.closed = True
+        self.socket.close()
+
+
+def test_an_idle_connection_rests_for_the_whole_limit_and_a_margin(manager, clock):
+    conn = Conn(manager)
+    clock.time += constants.IDLE_LIMIT + constants.IDLE_MARGIN - 0.01
+    manager._expire(0)
+    assert not conn.closed
+    clock.time += 0.02
+    manager._expire(0)
+    assert conn.closed and len(manager._selector) == 1  # the listening socket
+
+
+@pytest.mark.parametrize("rested", [0.0, 4.0, 11.0])
+def test_after_a_shorter_limit_the_longer_one_holds_for_its_span(manager, clock, rested):
+    manager.server.limit_idle(15.0)
+    clock.time += constants.IDLE_LIMIT + 0.01  # the first limit no longer counts
+    conn = Conn(manager)
+    clock.time += rested
+    manager.server.limit_idle(2.0)
+    clock.time += 0.8 * 15.0 - rested  # as long as a caller may let it rest that knows the old limit
+    manager._expire(0)
+    assert not conn.closed
+    clock.time += 0.2 * 15.0 + rested + constants.IDLE_MARGIN
+    manager._expire(0)
+    assert conn.closed
+
+
+def test_a_longer_limit_holds_at_once(manager, clock):
+    conn = Conn(manager)
+    manager.server.limit_idle(60.0)
+    clock.time += 0.8 * 60.0
+    manager._expire(0)
+    assert not conn.closed
+
+
+@pytest.mark.parametrize("data", [b"G", REQUEST], ids=["first byte", "whole request"])
+def test_a_request_that_has_come_wins_over_the_close(manager, clock, data):
+    conn = Conn(manager)
+    conn.other.sendall(data)
+    clock.time += 1000.0
+    manager._expire(0)
+    assert not conn.closed and len(manager._selector) == 2
+
+
+def test_a_step_of_the_wall_clock_closes_nothing(manager, clock, monkeypatch):
+    conn = Conn(manager)
+    step = time.time() + 5000.0
+    monkeypatch.setattr(time, "time", lambda: step)
+    manager._expire(step - manager.server.timeout)
+    assert not conn.closed
+
+
+class Gated:
+    """A served app whose answer waits for `go`, in two pieces; then connections expire at once."""
+
+    def __init__(self):
+        self.go, self.begun = threading.Event(), threading.Event()
+        self.server = front.Server("127.0.0.1:0", self.app, 4)
+        self.server.expiration_interval = 0.01
+        self.address = platform_site.serve(self.server)
+
+    def app(self, environ, start):
+        start("200 OK", [("Content-Type", "text/plain")])
+        yield b"first,"
+        self.begun.set()
+        assert self.go.wait(10)
+        yield b"last"
+
+    def connect(self):
+        host, port = self.address.rsplit(":", 1)
+        return socket.create_connection((host, int(port)), 5)
+
+
+@pytest.fixture
+def gated(monkeypatch):
+    monkeypatch.setattr(constants, "IDLE_MARGIN", 0.0)
+    found = Gated()
+    yield found
+    found.go.set()
+    found.server.stop()
+
+
+def read_to_end(conn):
+    rows = []
+    while piece := conn.recv(65536):
+        rows.append(piece)
+    return b"".join(rows)
+
+
+def test_a_limit_that_passes_during_an_exchange_ends_only_the_rest_after_it(gated):
+    with gated.connect() as conn, gated.connect() as idle_one:
+        conn.sendall(REQUEST)
+        assert gated.begun.wait(5)
+        gated.server.idle_limit = idle.IdleLimit(0.0)
+        assert idle_one.recv(1) == b""  # the expiry has run meanwhile
+        gated.go.set()
+        said = read_to_end(conn)
+    assert said.endswith(bare_http.chunk(b"first,") + bare_http.chunk(b"last") + b"0\r\n\r\n")
+    assert said.count(b"HTTP/1.1 200") == 1
+
+
+def test_a_request_of_which_half_has_come_is_answered_after_the_limit_has_passed(gated):
+    gated.go.set()
+    with gated.connect() as conn, gated.connect() as idle_one:
+        conn.sendall(REQUEST[:9])
+        platform_site.until(gated.server.exchanging)
+        gated.server.idle_limit = idle.IdleLimit(0.0)
+        assert idle_one.recv(1) == b""
+        conn.sendall(REQUEST[9:])
+        assert read_to_end(conn).endswith(b"0\r\n\r\n")
+
+
+def test_a_stopping_server_knows_of_requests_that_have_not_come_whole(gated):
+    gated.go.set()
+    with gated.connect() as conn:
+        assert not gated.server.exchanging()
+        conn.sendall(REQUEST[:9])
+        platform_site.until(gated.server.exchanging)
+        conn.sendall(REQUEST[9:])
+        conn.recv(1)
+        platform_site.until(lambda: not gated.server.exchanging())
