--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -21,6 +21,7 @@
 ROUNDS_KEPT = 500  # rounds whose moment is remembered; five seconds of the fastest rounds.
 APPEND_MOST = 64  # entries in one append; bounds one record's size.
 SNAP_EVERY = 256  # entries between snapshots; bounds replay and repair.
+SNAP_BYTES = 2097152  # bytes of log after which a snapshot is taken whatever their number: 8 MB in four parts.
 KEEP_BEHIND = 64  # entries kept below a snapshot for members that lag a little.
 KEEP_BEHIND_BYTES = 1048576  # bytes; the same bounded in size: four parts keep 4 MB of a disk of 128 MB.
 SEGMENT_BYTES = 262144  # bytes; a log segment is closed past this size.
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -146,9 +146,14 @@
             result = self.machine.apply(index, body["c"])
             if call:
                 call(result if term == body["t"] else None)
-        if self.applied - (self.log.snap["index"] if self.log.snap else 0) >= constants.SNAP_EVERY:
+        if self.snapshot_due():
             self.snap()
 
+    def snapshot_due(self):
+        """Whether enough entries, or bytes of them, stand after the newest snapshot."""
+        since = self.applied - (self.log.snap["index"] if self.log.snap else 0)
+        return since >= constants.SNAP_EVERY or (since > 0 and self.log.bytes_since_snapshot > constants.SNAP_BYTES)
+
     def snap(self):
         snap = {
             "index": self.applied,
--- /dev/null
+++ b/tests/test_log_transfer.py
@@ -0,0 +1,145 @@
+"""What a lagging follower is sent: windows, resending only what was lost, snapshots in pieces."""
+
+import json
+import random
+
+import mothshed.common.constants as constants
+import mothshed.control_plane.progress as progress_module
+import mothshed.control_plane.snapshot_transfer as snapshot_transfer
+import tests.group_model as group_model
+import tools.changes as changes
+
+
+def make_progress(next_index=1):
+    return progress_module.Progress(next_index, 0.0)
+
+
+def test_the_window_fills_and_an_acknowledgement_opens_it():
+    progress = make_progress()
+    progress.sent(1, 4, constants.WINDOW_BYTES - 10)
+    progress.sent(2, 6, 10)
+    assert progress.room() == 0 and progress.next == 7
+    progress.accepted(4, 1)
+    assert progress.room() == constants.WINDOW_BYTES - 10 and (progress.match, progress.next) == (4, 7)
+
+
+def test_an_echo_of_a_later_round_shows_what_was_lost():
+    progress = make_progress()
+    progress.sent(1, 4, 10)
+    progress.accepted(0, 2)  # the empty append of round 2 came, the entries of round 1 did not
+    assert progress.next == 1 and not progress.flights
+
+
+def test_an_echo_of_an_earlier_round_says_nothing_of_what_is_under_way():
+    progress = make_progress()
+    progress.sent(3, 4, 10)
+    progress.accepted(0, 2)
+    assert progress.next == 5 and len(progress.flights) == 1
+
+
+def test_only_the_first_of_several_rejections_starts_over():
+    progress = make_progress(9)
+    for round_number in (4, 5, 6):
+        progress.sent(round_number, 8 + round_number, 10)
+    progress.rejected(2, 4, newest_round=6)
+    assert progress.next == 3
+    progress.sent(7, 14, 10)
+    progress.rejected(2, 5, newest_round=7)
+    progress.rejected(2, 6, newest_round=7)
+    assert progress.next == 15
+    progress.rejected(2, 7, newest_round=7)
+    assert progress.next == 3
+
+
+def transfer(state, lose=lambda turn: False, spoil=lambda fields: fields):
+    """Carries a snapshot over a link that loses some pieces and answers; (snapshot, pieces sent)."""
+    sender = snapshot_transfer.Transfer(snapshot_transfer.Encoded({"index": 7, "term": 2, "state": state}))
+    receiver, now = snapshot_transfer.Collector(), 0.0
+    for turn in range(1, 2000):
+        now += 0.1
+        if not sender.due(now):
+            continue
+        fields = spoil(sender.piece(now))
+        if lose(2 * turn):
+            continue
+        found = receiver.take(fields)
+        if found is not None:
+            return found, turn
+        if not lose(2 * turn + 1):
+            sender.answered(7, receiver.length)
+    raise AssertionError("the snapshot never came")
+
+
+def test_a_snapshot_comes_whole_over_a_link_that_loses_pieces_and_answers(monkeypatch):
+    monkeypatch.setattr(constants, "PIECE_BYTES", 50)
+    state = {"rows": list(range(300)), "text": "é" * 40}
+    chance = random.Random(3)
+    found, _ = transfer(state, lose=lambda turn: chance.random() < 0.4)
+    assert found["state"] == state
+
+
+def test_a_piece_that_was_spoilt_on_its_way_is_not_installed(monkeypatch):
+    monkeypatch.setattr(constants, "PIECE_BYTES", 50)
+    state, spoilt = {"rows": list(range(100))}, []
+
+    def spoil(fields):
+        if fields["offset"] == 100 and not spoilt:
+            spoilt.append(True)
+            return {**fields, "piece": "9" * len(fields["piece"])}
+        return fields
+
+    found, _ = transfer(state, spoil=spoil)
+    assert found["state"] == state and spoilt
+
+
+def test_pieces_of_two_snapshots_are_never_joined(monkeypatch):
+    monkeypatch.setattr(constants, "PIECE_BYTES", 50)
+    older = snapshot_transfer.Encoded({"index": 7, "term": 2, "state": list(range(100))})
+    newer = snapshot_transfer.Encoded({"index": 9, "term": 2, "state": list(range(100, 200))})
+    first, second, receiver = (*map(snapshot_transfer.Transfer, (older, newer)), snapshot_transfer.Collector())
+    assert receiver.take(first.piece(0.0)) is None
+    first.answered(7, receiver.length)
+    assert receiver.take(second.piece(0.0)) is None  # the newer one begins at its own first piece
+    assert receiver.take(first.piece(1.0)) is None and receiver.length == 0  # the older one must begin anew
+    found = None
+    while found is None:
+        second.answered(9, receiver.length)
+        found = receiver.take(second.piece(2.0))
+    assert found == json.loads(newer.text)
+
+
+def test_a_large_snapshot_is_under_way_in_one_piece_at_a_time(monkeypatch):
+    monkeypatch.setattr(constants, "SNAP_EVERY", 8)
+    monkeypatch.setattr(constants, "KEEP_BEHIND", 1)
+    monkeypatch.setattr(constants, "PIECE_BYTES", 64)
+    group = group_model.Group(3, 1)
+    group.rest()
+    leader = next(name for name, seat in group.seats.items() if seat.owns)
+    away = next(name for name in group.seats if name != leader)
+    group.crash(away)
+    for _ in range(40):
+        group.propose(leader)
+        group.pool.time += constants.ROUND_GAP
+        while group.pool.waiting:
+            group.pool.deliver(0)
+    group.boot(away)
+    most = 0
+    for _ in range(60):
+        group.pool.time += group_model.STEP
+        group.tick(leader)
+        most = max(most, sum(kind == "snap" for _, _, kind, _ in group.pool.waiting))
+        while group.pool.waiting:
+            group.pool.deliver(0)
+            most = max(most, sum(kind == "snap" for _, _, kind, _ in group.pool.waiting))
+    assert most == 1
+    assert group.seats[away].machine.rows == group.seats[leader].machine.rows
+    assert not group.seats[leader].transfers() and group.seats[leader].encoded is None
+
+
+def test_what_is_kept_and_sent_is_level_in_the_number_of_changes():
+    few, many = changes.one(100), changes.one(400)
+    assert many.sent_to_catch_up < 2 * few.sent_to_catch_up + constants.PIECE_BYTES
+    assert many.entries <= constants.SNAP_EVERY + constants.KEEP_BEHIND
+    assert many.log < 2 * few.log + constants.KEEP_BEHIND_BYTES
+    assert many.sent_while_away < 5 * few.sent_while_away  # a change costs the same, however many there were
+    assert max(few.caught_up, many.caught_up) < 1.0
