Random walks over a part's log with faults, kills and losses of power

Each of three protections taken out is found by the same walk, seven by the exhaustive script.

tools/taken_out.py: "a failed sync ends a member's part" took out the member's stop only.

--- a/tests/log_crashes.py
+++ b/tests/log_crashes.py
@@ -142,3 +142,22 @@
             count += 1
         count += 1
     return count
+
+
+def read_segment_in_place(self, number, is_last, read_segment=disk_log.PartLog.read_segment):
+    """PartLog.read_segment that syncs a whole last segment again, and believes it, instead of putting it anew."""
+    put = self.disk.put
+
+    def sync_again(name, data):
+        if data != self.disk.read(name):
+            put(name, data)
+            return
+        with disk_module.faults_of("sync", name):
+            self.disk.files.fsync(self.disk.files.open(name))
+        self.disk.sync_names()
+
+    self.disk.put = sync_again
+    try:
+        read_segment(self, number, is_last)
+    finally:
+        self.disk.put = put
--- a/tests/test_disk_crashes.py
+++ b/tests/test_disk_crashes.py
@@ -215,6 +215,7 @@
     "the folder is synced after a rename": (disk_module.Disk, {"put": put_unnamed}),
     "a file is replaced by a rename": (disk_module.Disk, {"put": put_in_place}),
     "an append is synced": (disk_module.Disk, {"sync": lambda self, name: None}),
+    "names are synced at opening": (disk_module.Disk, {"sync_names": lambda self: None}),
     "the entries of one put are one frame": (disk_log.PartLog, {"put": put_one_by_one}),
     "old files are removed last": (disk_log.PartLog, {"put_snap": put_snap_removing_first}),
 }
@@ -231,13 +232,8 @@
             log_crashes.check_stop(stop)
 
 
-def read_segment_in_place(self, number, is_last, read_segment=disk_log.PartLog.read_segment):
-    """PartLog.read_segment that trusts the file as it was found."""
-    read_segment(self, number, False)
-
-
 def test_without_a_new_file_at_opening_a_failed_sync_is_believed(monkeypatch):
-    monkeypatch.setattr(disk_log.PartLog, "read_segment", read_segment_in_place)
+    monkeypatch.setattr(disk_log.PartLog, "read_segment", log_crashes.read_segment_in_place)
     with pytest.raises((AssertionError, disk_module.DiskDamaged)):
         for stop in log_crashes.stops(log_crashes.SCRIPT, lambda: OSError(errno.EIO, "refused")):
             log_crashes.check_stop(stop)
--- /dev/null
+++ b/tests/test_disk_walks.py
@@ -0,0 +1,175 @@
+"""Random walks over a part's log on a disk that fails: what was acknowledged is always there.
+
+Beside the exhaustive tests of one script (test_disk_crashes): any writes in any order,
+several faults and losses of power after each other, shrunk by hypothesis when one breaks.
+"""
+
+import errno
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as strategies
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
+import mothshed.common.disk_log as disk_log
+import tests.log_crashes as log_crashes
+import tools.simulator.volatile_folder as volatile_folder
+
+TEXTS = strategies.sampled_from(["", "x" * 30, "y" * 200])
+STEPS = strategies.integers(min_value=1, max_value=7)
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=25,
+)
+UNSHRUNK = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], print_blob=False)
+
+
+class Killed(volatile_folder.PowerLost):
+    """The process is stopped at a call, and the machine keeps its power."""
+
+
+class LogWalk(stateful.RuleBasedStateMachine):
+    """Keeps the state last acknowledged, and the one that a failed write may have reached."""
+
+    def __init__(self):
+        super().__init__()
+        self.segment_bytes, constants.SEGMENT_BYTES = constants.SEGMENT_BYTES, 150
+        self.kept_bytes, constants.KEEP_BEHIND_BYTES = constants.KEEP_BEHIND_BYTES, 400
+        self.folder = volatile_folder.VolatileFolder()
+        self.log = log_crashes.open_log(self.folder)
+
+    def teardown(self):
+        constants.SEGMENT_BYTES, constants.KEEP_BEHIND_BYTES = self.segment_bytes, self.kept_bytes
+
+    # --- writes, whole or interrupted ----------------------------------------
+    def interrupt(self, at, make_error):
+        self.folder.before_step = log_crashes.Interrupt(at, make_error) if make_error else lambda step, name: None
+
+    def expected_after(self, method, args):
+        """The state after this write on a disk without faults."""
+        copy = log_crashes.with_content({name: self.folder.read(name) for name in self.folder.names()})
+        log = log_crashes.open_log(copy)
+        getattr(log, method)(*args)
+        return log_crashes.state(log)
+
+    def write(self, method, args, at, make_error, random):
+        before, after = log_crashes.state(self.log), self.expected_after(method, args)
+        self.interrupt(at, make_error)
+        try:
+            getattr(self.log, method)(*args)
+            allowed = [after]
+        except disk_module.DiskFault:
+            self.check_poisoned()
+            allowed = [before, after]
+        except volatile_folder.PowerLost as e:
+            allowed = [before, after]
+            if not isinstance(e, Killed):
+                self.folder.lose_power(random)
+        self.interrupt(0, None)
+        if len(allowed) > 1:
+            self.log = log_crashes.open_log(self.folder)
+        assert log_crashes.state(self.log) in allowed
+
+    def check_poisoned(self):
+        with pytest.raises(disk_module.DiskFault):
+            self.log.put([log_crashes.entry(self.log.last + 1)])
+
+    faults = strategies.sampled_from(
+        [
+            None,
+            None,
+            volatile_folder.PowerLost,
+            Killed,
+            lambda: OSError(errno.EIO, ""),
+            lambda: OSError(errno.ENOSPC, ""),
+        ]
+    )
+    chances = strategies.randoms(use_true_random=False)
+
+    @stateful.rule(back=strategies.integers(0, 3), count=strategies.integers(1, 4), text=TEXTS, at=STEPS, fault=faults)
+    def put(self, back, count, text, at, fault):
+        first = max(self.log.base + 1, self.log.last + 1 - back)
+        term = max(self.log.term, self.log.last_term)
+        entries = [log_crashes.entry(first + n, term, text) for n in range(count)]
+        self.write("put", (entries,), at, fault, self.random)
+
+    @stateful.rule(vote=strategies.sampled_from(["", "a/1", "b/1"]), at=STEPS, fault=faults)
+    def put_term(self, vote, at, fault):
+        self.write("put_term", (self.log.term + 1, vote), at, fault, self.random)
+
+    @stateful.rule(below=strategies.integers(0, 3), behind=strategies.integers(0, 3), at=STEPS, fault=faults)
+    def put_snap(self, below, behind, at, fault):
+        index = max(self.log.base, self.log.last - below)
+        if index == 0 or (self.log.snap and index < self.log.snap["index"]):
+            return
+        snap = log_crashes.snapshot(index, self.log.term_at(index))
+        self.write("put_snap", (snap, index - behind), at, fault, self.random)
+
+    @stateful.rule(ahead=strategies.integers(0, 3), at=STEPS, fault=faults)
+    def put_snap_of_another(self, ahead, at, fault):
+        index = self.log.last + ahead
+        if index:
+            snap = log_crashes.snapshot(index, self.log.term + 1)
+            self.write("put_snap", (snap, index), at, fault, self.random)
+
+    # --- the process or the power goes between writes -------------------------
+    @stateful.initialize(random=chances)
+    def take_chances(self, random):
+        self.random = random
+
+    @stateful.rule()
+    def kill(self):
+        self.reopen()
+
+    @stateful.rule(random=chances)
+    def lose_power(self, random):
+        self.folder.lose_power(random)
+        self.reopen()
+
+    @stateful.rule(at=STEPS, fault=faults, lost=strategies.booleans(), random=chances)
+    def open_badly(self, at, fault, lost, random):
+        """An opening is interrupted, then the power may go as well."""
+        self.interrupt(at, fault)
+        log_crashes.play([], self.folder)
+        self.interrupt(0, None)
+        if lost:
+            self.folder.lose_power(random)
+        self.reopen()
+
+    def reopen(self):
+        expected = log_crashes.state(self.log)
+        self.log = log_crashes.open_log(self.folder)
+        assert log_crashes.state(self.log) == expected
+
+    # --- always ----------------------------------------------------------------
+    @stateful.invariant()
+    def sizes_fit(self):
+        sizes = [self.log.entry_bytes(entry["i"]) for entry in self.log.entries]
+        assert self.log.size_of(self.log.base + 1) == sum(sizes)
+        written = [name for name in self.folder.names() if "-seg-" in name]
+        assert self.log.bytes_since_snapshot == sum(len(self.folder.read(name)) for name in written)
+
+
+def test_any_writes_faults_and_losses_of_power():
+    stateful.run_state_machine_as_test(LogWalk, settings=SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ("owner", "changes"),
+    [
+        (disk_module.Disk, {"sync": lambda self, name: None}),
+        (disk_module.Disk, {"sync_names": lambda self: None}),
+        (disk_log.PartLog, {"read_segment": log_crashes.read_segment_in_place}),
+    ],
+    ids=["no sync", "no sync of names at opening", "segment read in place"],
+)
+def test_a_walk_finds_what_a_missing_protection_loses(owner, changes, monkeypatch):
+    for attribute, value in changes.items():
+        monkeypatch.setattr(owner, attribute, value)
+    with pytest.raises((AssertionError, disk_module.DiskFault)):
+        stateful.run_state_machine_as_test(LogWalk, settings=UNSHRUNK)
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -8,7 +8,6 @@
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.keeper as keeper
-import mothshed.control_plane.member as member
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.replication as replication
 import mothshed.control_plane.service_part as service_part
@@ -128,7 +127,7 @@
         "service returns",
     ),
     "a failed sync ends a member's part": (
-        weakened.put(member.Member, fail_disk=lambda self, e: None),
+        weakened.write_on_after_fault,
         "disk_sync_fails",
         "no crash inside",
     ),
--- a/tools/weakened.py
+++ b/tools/weakened.py
@@ -4,9 +4,12 @@
 import unittest.mock
 
 import mothshed.common.constants as constants
+import mothshed.common.disk as disk
+import mothshed.common.disk_log as disk_log
 import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.replicas as replicas
 import mothshed.common.verdict as verdict
+import mothshed.control_plane.member as member
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.service_part as service_part
 import mothshed.data_plane.admission as admission
@@ -18,6 +21,17 @@
     return lambda: unittest.mock.patch.multiple(owner, **changes)
 
 
+@contextlib.contextmanager
+def write_on_after_fault():
+    """Member, log and disk all take a write after one that failed, in the same file."""
+    with (
+        unittest.mock.patch.object(member.Member, "fail_disk", lambda self, e: None),
+        unittest.mock.patch.object(disk_log.PartLog, "refusing_after_fault", lambda self: contextlib.nullcontext()),
+        unittest.mock.patch.object(disk.Disk, "check_usable", lambda self, name: None),
+    ):
+        yield
+
+
 def repeat_unsafe(self, e):
     if self.chart.state == "relaying":
         raise verdict.StreamBroken(str(e)) from e
