The fleets' bad disk brings its faults at the calls of the folder

BadDisk read Disk.folder, which the folder interface took away: a keeper on it ended at its first write (found before any run of the fleet tests was whole; no test had touched the tool without a fleet). It now fails in the same calls as a real disk, so the product's own handling runs; a test without a fleet.

--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,5 +1,6 @@
 """The log on a real disk: torn tails are cut off, damage elsewhere is not passed over."""
 
+import json
 import types
 
 import pytest
@@ -10,6 +11,7 @@
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.member as member
 import tests.all_orders as all_orders
+import tools.keep_on_bad_disk as keep_on_bad_disk
 
 
 def entry(index, term=1, text="x"):
@@ -208,3 +210,22 @@
     for _ in range(2):
         seat.guard(fail)()
     assert told == ["stopped"]
+
+
+def test_the_bad_disk_of_the_fleets_fails_as_its_file_says(tmp_path):
+    one = keep_on_bad_disk.BadDisk(tmp_path / "data")
+    faults = tmp_path / "data.faults"
+    part = disk_log.PartLog(one, 1)
+    part.put([entry(1)])
+    for fault in ("full", "sync_fails"):
+        faults.write_text(json.dumps({fault: True}))
+        for call in (lambda: part.put([entry(2)]), lambda: one.put("a", b"x"), lambda: disk_log.PartLog(one, 1)):
+            with pytest.raises(disk.DiskFault):
+                call()
+        faults.unlink()
+        with pytest.raises(disk.DiskFault):  # the fault is over, but this log is not to be trusted
+            part.put([entry(2)])
+        part = disk_log.PartLog(one, 1)
+        assert part.get(1) == entry(1)
+    part.put([entry(part.last + 1)])
+    assert disk_log.PartLog(one, 1).last == part.last
--- a/tools/keep_on_bad_disk.py
+++ b/tools/keep_on_bad_disk.py
@@ -3,43 +3,59 @@
 python -m tools.keep_on_bad_disk --settings keep.json      (for tests; the daemon itself has no such switch)
 
 The file DATA.faults beside the data folder holds JSON: delay (s for each sync),
-full, sync_fails. It is read before each write; without it the disk is a plain one.
+full, sync_fails. It is read before each call; without it the disk is a plain one.
 """
 
+import errno
 import json
 import pathlib
 import time
 
 import mothshed.common.disk as disk_module
+import mothshed.common.folder as folder_module
 import mothshed.programs.keep as keep
 
 
-class BadDisk(disk_module.Disk):
+class BadFolder(folder_module.Folder):
+    """A folder whose writes and syncs fail as the faults file says."""
+
     def fault(self, name, usual):
         try:
-            return json.loads(pathlib.Path(f"{self.folder}.faults").read_text()).get(name, usual)
+            return json.loads(pathlib.Path(f"{self.path}.faults").read_text()).get(name, usual)
         except (OSError, ValueError):
             return usual
 
-    def append(self, name, data):
+    def check_room(self):
         if self.fault("full", False):
-            raise disk_module.DiskFault("no space left")
-        super().append(name, data)
+            raise OSError(errno.ENOSPC, "no space left on device")
 
     def before_sync(self):
         time.sleep(self.fault("delay", 0.0))
         if self.fault("sync_fails", False):
-            raise disk_module.DiskFault("sync fails")
+            raise OSError(errno.EIO, "sync fails")
+
+    def create(self, name):
+        self.check_room()
+        return super().create(name)
 
-    def sync(self, name):
+    def write(self, handle, data):
+        self.check_room()
+        return super().write(handle, data)
+
+    def fsync(self, handle):
         self.before_sync()
-        super().sync(name)
+        super().fsync(handle)
 
-    def put(self, name, data):
-        if self.fault("full", False):
-            raise disk_module.DiskFault("no space left")
+    def sync_names(self):
         self.before_sync()
-        super().put(name, data)
+        super().sync_names()
+
+
+class BadDisk(disk_module.Disk):
+    """The product's Disk over a BadFolder."""
+
+    def __init__(self, path):
+        super().__init__(path, BadFolder)
 
 
 if __name__ == "__main__":
