Operators are answered within a second: at once where no majority confirms

Cause, found again: the front waited COMMIT_WAIT (3 s) for every read and write, while operators go on after 1 s of silence; it named any leader it once knew, and could not tell a write that its mailbox had not begun (a stalled disk) from one that was proposed.

Now confirmed_calls.ConfirmedCalls: a leader that is not sure of its majority answers 503 before and in the mailbox; a call not begun within OPERATOR_WAIT (0.8 s) is withdrawn (503, nothing written); only one that was proposed is 504. What would change nothing (taken before, lost its race, a used number) is confirmed by a round of the majority and not logged. 307 names only a leader heard of within OWNER_FRESH.

--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -5,9 +5,10 @@
 GET /configuration/history    what was accepted, oldest first
 GET /condition, /metrics      this keeper
 
-A keeper that does not own part 0 sends the caller on with 307. Reads are
-confirmed by a majority. A write whose end is not known in time is answered 504
-with `may_have_run`; reading history by its id resolves it.
+A keeper that does not own part 0 sends the caller on with 307, to a leader that it
+heard of lately. Reads are confirmed by a majority; a leader without one answers 503 at
+once. A write whose end is not known in time is answered 504 with `may_have_run`; sending
+it again with its id resolves it.
 """
 
 import json
@@ -16,12 +17,15 @@
 import mothshed.common.configuration as configuration
 import mothshed.common.constants as constants
 import mothshed.common.front as front
+import mothshed.control_plane.confirmed_calls as confirmed_calls
+import mothshed.control_plane.leader_hint as leader_hint
 
 
 class KeeperFront:
     def __init__(self, keeper):
         self.keeper = keeper
         self.seat = keeper.members[0]
+        self.calls = confirmed_calls.ConfirmedCalls(keeper.desk, self.seat)
 
     def __call__(self, environ, start):
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
@@ -49,11 +53,11 @@
         return front.respond(start, 200, self.keeper.totals.text().encode())
 
     def elsewhere(self, environ, start):
-        """307 to the owner, or 503 while there is none; None if this is the owner."""
+        """307 to a leader heard of lately, or 503 while there is none; None if this is the leader."""
         if self.seat.owns:
             return None
-        place = self.seat.members.get(self.seat.owner)
-        if not place or self.seat.owner == self.seat.who:
+        place = self.seat.members.get(leader_hint.recent_leader(self.seat))
+        if not place:
             return front.fault(start, 503, "the configuration part has no owner now", retry=constants.RETRY_AFTER)
         goal = f"http://{place['http']}{environ['PATH_INFO']}"
         return front.respond(start, 307, {"owner": place["http"]}, [("Location", goal)])
@@ -62,12 +66,10 @@
         away = self.elsewhere(environ, start)
         if away:
             return away
-        said = self.keeper.ask_part(
-            self.seat, lambda done: self.seat.confirm(lambda good: done(give() if good else None))
-        )
-        if said is None:
-            return front.fault(start, 503, "no majority confirms this owner now", retry=constants.RETRY_AFTER)
-        return front.respond(start, 200, said)
+        try:
+            return front.respond(start, 200, self.calls.read(give))
+        except confirmed_calls.NotConfirmed:
+            return not_confirmed(start)
 
     def show(self, environ, start):
         def give():
@@ -116,30 +118,27 @@
             "by": body.get("by", ""),
             "id": body.get("id") or secrets.token_hex(8),
         }
-        said = self.commit(command)
-        if said == "no owner":
-            return front.fault(start, 503, "the owner changed; nothing was written", retry=constants.RETRY_AFTER)
-        if said is None:
-            return front.fault(
-                start,
-                504,
-                "not known whether it was accepted: read the history",
-                verdict="may_have_run",
-                id=command["id"],
-            )
+        try:
+            said = self.calls.write(command)
+        except confirmed_calls.NotConfirmed:
+            return not_confirmed(start)
+        except confirmed_calls.Unclear:
+            return unclear(start, command["id"])
+        if "unknown" in said:
+            return unclear(start, command["id"])
         if "conflict" in said:
             return front.fault(start, 409, f"base {body['base']} is not the latest", current=said["conflict"])
         return front.respond(start, 200, {"sequence": said["sequence"], "id": command["id"]})
 
-    def commit(self, command):
-        """What became of a command: a result, "no owner" if nothing was written, None if not known."""
-        return self.keeper.ask_part(self.seat, lambda done: self.write(command, done))
 
-    def write(self, command, done):
-        if not (self.seat.owns and self.seat.ready):
-            done("no owner")
-        else:
-            self.seat.propose(command, done)
+def not_confirmed(start):
+    reason = "no majority confirms this leader now; nothing was written"
+    return front.fault(start, 503, reason, retry=constants.RETRY_AFTER)
+
+
+def unclear(start, order_id):
+    reason = "not known whether it was accepted: send it again with its id, or read the history"
+    return front.fault(start, 504, reason, verdict="may_have_run", id=order_id)
 
 
 def faults(body):
