A change that leaves a request's route alone no longer ends its plan

Cause of "tokens read for nothing" in storms: the last check before a send asked for the very sequence that the pair was made under. With a change every 87 ms almost every prompt was read, then met a newer sequence at its decode, was freed, read again out of the retry budget, and refused once that was spent.

Now a plan stands while the newest document still sends the request to the pool of its pair: same place, kind, tries, resumable, selector, and a share above 0; deadlines and aims may have changed. A moved or dropped route ends the plan as before. A prompt that was read waits up to LEASE_PATIENCE for a lease that has just run out.

--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -35,6 +35,7 @@
         self.counted = 0  # sends that count: all but a first prefill that was taken up
         self.last = ask.after  # id of the last event delivered
         self.pair = self.handle = self.reply = None
+        self.selector = {}  # of the replicas that the pair was taken from
 
     def left(self):
         left = self.ask.cutoff - self.desk.now()
@@ -116,6 +117,7 @@
                     raise verdict.Bounce(404, "no route")
                 self.route = route
                 pool = routes.pool_of(route, self.desk.random)
+                self.selector = document["pools"][pool]["selector"]
                 try:
                     pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
                     if pair:
@@ -138,6 +140,7 @@
         pair = self.pair = self.take_place(alone)
         if pair.reader:
             self.handle = self.prefill(pair)
+            self.wait_for_lease()
         self.may_send("decode")
         try:
             self.reply = self.speech.decode(
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -8,6 +8,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
+import mothshed.data_plane.routes as routes
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 
@@ -19,7 +20,7 @@
         """The last check before a send: the lease still runs, the same one, and the budget has room."""
 
         def ready():
-            if self.router.lease.sequence() != self.pair.sequence:
+            if not self.plan_stands():
                 return False
             if not (self.prefills or self.decodes):
                 self.router.budget.sent()
@@ -33,6 +34,27 @@
 
         return ready
 
+    def plan_stands(self):
+        """Whether a lease runs under which this request still goes to the pool of its pair.
+
+        A change that leaves the request's route alone is no reason to read its prompt again.
+        """
+        sequence, document = self.router.lease.sequence(), self.router.lease.document()
+        if sequence is None:
+            return False
+        if sequence != self.pair.sequence:
+            new = self.router.tables.of(sequence, document).match(self.ask.host, self.ask.target)
+            if not routes.plan_stands(self.route, new, self.pair.pool, self.selector, document):
+                return False
+            self.pair.sequence = sequence
+        return True
+
+    def wait_for_lease(self):
+        """A prompt that was read waits a little for a lease that has just run out."""
+        until = self.desk.now() + min(self.left(), constants.LEASE_PATIENCE)
+        while self.router.lease.sequence() is None and self.desk.now() < until:
+            self.desk.pause(constants.PLACE_BEAT)
+
     def may_send(self, role):
         """Takes an extra send from the budget if the next one is beyond the first."""
         extra = self.counted > 0 if role == "decode" else self.prefills > 0
--- a/mothshed/data_plane/routes.py
+++ b/mothshed/data_plane/routes.py
@@ -37,6 +37,18 @@
         return self.table
 
 
+def plan_stands(route, new, pool, selector, document):
+    """Whether `new`, a request's route in a newer document, still sends it to the pool of a plan under `route`.
+
+    Deadlines and aims may have changed: they bind requests that come later.
+    """
+    if new is None or any(new[key] != route[key] for key in ("host", "prefix", "kind", "tries", "resumable")):
+        return False
+    if document["pools"].get(pool, {}).get("selector") != selector:
+        return False
+    return any(row["pool"] == pool and row["share"] for row in new["pools"])
+
+
 def repeatable(route):
     return route["kind"] == "safe" or route["kind"] == "stream" and route["resumable"]
 
