--- /dev/null
+++ b/tests/test_door_properties.py
@@ -0,0 +1,150 @@
+"""The HTTP door under generated input: however the bytes are cut, joined, doubled or followed by
+others, each whole request reaches the app once, as it was sent, and each answer is its own."""
+
+import os
+import socket
+import threading
+
+import hypothesis
+import hypothesis.strategies as strategies
+import pytest
+
+import mothshed.common.front as front
+import tests.platform_site as platform_site
+
+EXAMPLES = int(os.environ.get("MOTHSHED_EXAMPLES", "60"))
+BOUNDED = hypothesis.settings(derandomize=True, max_examples=EXAMPLES, deadline=None, database=None)
+
+
+class Echo:
+    """A served app that answers each request with its own name and body, and keeps an account."""
+
+    def __init__(self):
+        self.seen, self.lock = [], threading.Lock()
+        self.server = front.Server("127.0.0.1:0", self, 8)
+        host, port = platform_site.serve(self.server).rsplit(":", 1)
+        self.address = host, int(port)
+
+    def __call__(self, environ, start):
+        name = environ["mothshed.headers"].get("Try-Id", "")
+        try:
+            body = front.body_of(environ)
+        except front.BadBody as e:
+            return front.fault(start, e.status, e.reason, headers=[("Connection", "close")])
+        with self.lock:
+            self.seen.append((name, body))
+        return front.respond(start, 200, b"%b=%b;" % (name.encode(), body))
+
+    def say(self, pieces, shut=True):
+        """Sends the pieces one by one; all that comes back until the end."""
+        self.seen.clear()
+        with socket.create_connection(self.address, 5) as conn:
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            rows = []
+            try:
+                for piece in pieces:
+                    conn.sendall(piece)
+                if shut:
+                    conn.shutdown(socket.SHUT_WR)
+                while data := conn.recv(65536):
+                    rows.append(data)
+            except ConnectionError:
+                pass
+            return b"".join(rows)
+
+
+@pytest.fixture(scope="module")
+def echo():
+    found = Echo()
+    yield found
+    found.server.stop()
+
+
+@strategies.composite
+def requests(draw, number):
+    """(name, body, bytes) of one proper request, with a length or in chunks."""
+    name, body = b"n%d" % number, draw(strategies.binary(max_size=40))
+    head = b"POST /p HTTP/1.1\r\nHost: h\r\nTry-Id: " + name + b"\r\n"
+    if draw(strategies.booleans()):
+        return name, body, head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    rows, at = [], 0
+    while at < len(body):
+        size = draw(strategies.integers(1, len(body) - at))
+        rows.append(b"%x\r\n%b\r\n" % (size, body[at : at + size]))
+        at += size
+    trailer = draw(strategies.sampled_from([b"", b"X-Sum: 1\r\n", b"A: b\r\nC: d\r\n"]))
+    return name, body, head + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(rows) + b"0\r\n" + trailer + b"\r\n"
+
+
+@strategies.composite
+def conversations(draw):
+    return [draw(requests(n)) for n in range(draw(strategies.integers(1, 4)))]
+
+
+def cut(data, places):
+    """The bytes in pieces, cut at these places."""
+    at = sorted({p % (len(data) + 1) for p in places} | {0, len(data)})
+    return [data[a:b] for a, b in zip(at, at[1:])]
+
+
+CUTS = strategies.lists(strategies.integers(0, 10000), max_size=6)
+
+
+@BOUNDED
+@hypothesis.given(rows=conversations(), places=CUTS)
+def test_requests_cut_anywhere_are_each_answered_once_and_in_order(echo, rows, places):
+    said = echo.say(cut(b"".join(data for name, body, data in rows), places))
+    assert echo.seen == [(name.decode(), body) for name, body, data in rows]
+    assert said.count(b"HTTP/1.1 200 OK\r\n") == len(rows)
+    at = 0
+    for name, body, data in rows:
+        at = said.index(b"\r\n\r\n%b=%b;" % (name, body), at) + 1
+
+
+def test_a_request_cut_at_every_byte_is_the_same(echo):
+    data = (
+        b"POST /p HTTP/1.1\r\nHost: h\r\nTry-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n"
+    )
+    for at in range(1, len(data)):
+        said = echo.say([data[:at], data[at:]])
+        assert echo.seen == [("a", b"abc")] and said.endswith(b"a=abc;"), at
+
+
+def test_a_request_that_ends_at_any_byte_before_its_last_reaches_nobody(echo):
+    for body in (b"Content-Length: 3\r\n\r\nabc", b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n"):
+        data = b"POST /p HTTP/1.1\r\nHost: h\r\nTry-Id: a\r\n" + body
+        for at in range(len(data)):
+            said = echo.say([data[:at]])
+            assert echo.seen == [] and b" 200 " not in said, (at, said)
+
+
+@BOUNDED
+@hypothesis.given(rows=conversations(), surplus=strategies.binary(min_size=1, max_size=60), places=CUTS)
+def test_surplus_bytes_after_whole_requests_change_none_of_them(echo, rows, surplus, places):
+    """What follows may itself be refused; it reaches the app only if it is a request, which no such bytes are."""
+    hypothesis.assume(b"HTTP/1." not in surplus)
+    said = echo.say(cut(b"".join(data for name, body, data in rows) + surplus, places))
+    assert echo.seen == [(name.decode(), body) for name, body, data in rows]
+    assert said.count(b"HTTP/1.1 200 OK\r\n") == len(rows)
+
+
+@BOUNDED
+@hypothesis.given(rows=conversations(), order=strategies.randoms(use_true_random=False))
+def test_doubled_and_reordered_requests_are_answered_as_often_as_they_came(echo, rows, order):
+    rows = rows + rows
+    order.shuffle(rows)
+    said = echo.say([data for name, body, data in rows])
+    assert echo.seen == [(name.decode(), body) for name, body, data in rows]
+    assert said.count(b"HTTP/1.1 200 OK\r\n") == len(rows)
+
+
+@BOUNDED
+@hypothesis.given(
+    at=strategies.integers(0, 10000), byte=strategies.binary(min_size=1, max_size=2), rows=conversations()
+)
+def test_a_body_reaches_the_app_only_as_its_framing_says(echo, at, byte, rows):
+    """Some bytes replaced: never more requests than were sent, and none made of another's body."""
+    data = b"".join(data for name, body, data in rows)
+    at %= len(data)
+    echo.say([data[:at] + byte + data[at + len(byte) :]])
+    assert len(echo.seen) <= len(rows)
