--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -20,9 +20,9 @@
 
 
 def rows(text):
-    """test id -> (cause, issue).
+    r"""Map each test id to its cause and issue.
 
-    >>> rows("tests/a.py::test_x[1, 2], late, by 3 s, issue 4\\n\\n")
+    >>> rows("tests/a.py::test_x[1, 2], late, by 3 s, issue 4\n\n")
     {'tests/a.py::test_x[1, 2]': ('late, by 3 s', 'issue 4')}
     """
     found = {}
@@ -36,6 +36,7 @@
 
 
 def listed(config):
+    """Read the list at the root, if there is one."""
     path = pathlib.Path(config.rootpath) / "KNOWN-RED.txt"
     try:
         return rows(path.read_text() if path.exists() else "")
@@ -44,6 +45,7 @@
 
 
 def pytest_collection_modifyitems(config, items):
+    """Take the listed tests out of the run; end it where the list names none of ours."""
     known, seen, rest, out = listed(config), set(), [], []
     for item in items:
         names = {item.nodeid, item.nodeid.partition("[")[0]} & set(known)
@@ -70,5 +72,6 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
+    """Print each test that was passed over, with its cause and issue."""
     for test, (cause, issue) in config.stash.get(PASSED_OVER, []):
         terminalreporter.write_line(f"KNOWN RED, passed over: {test} ({cause}; {issue})")
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -9,7 +9,7 @@
 
 
 def one(pool, method, url, body):
-    for hop in range(4):
+    for _hop in range(4):
         status, said, goal = once(pool, method, url, body)
         if status != 307:
             return status, said
@@ -48,7 +48,7 @@
     """(exit code, answer). Sending the same id again is safe: it is accepted once."""
     body = {"base": base, "document": document, "by": by, "id": mark}
     status, said = 0, {}
-    for turn in range(3):
+    for _turn in range(3):
         status, said = any_of(keepers, "PUT", "/configuration", body)
         if status not in (503, 504):
             break
@@ -62,7 +62,7 @@
 
 
 def once_each(addresses, path, text=False):
-    """address -> what it answers now, or None; a 503 condition is an answer too."""
+    """Map each address to what it answers now, or None; a 503 condition is an answer too."""
     pool, found = urllib3.PoolManager(), {}
     for address in addresses:
         try:
--- a/mothshed/programs/logs.py
+++ b/mothshed/programs/logs.py
@@ -21,7 +21,7 @@
 
 def moment_of(row):
     """Raises if the row has none that is a time."""
-    return datetime.datetime.fromtimestamp(row["timestamp"], datetime.timezone.utc)
+    return datetime.datetime.fromtimestamp(row["timestamp"], datetime.UTC)
 
 
 def row_of(text, boots):
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -19,7 +19,7 @@
 import mothshed.programs.logs as logs_module
 
 Keepers = typing.Annotated[
-    typing.List[str],
+    list[str],
     cappa.Arg(long="--keeper", required=True, help="ip:port of a keeper's HTTP front; may be given several times"),
 ]
 
@@ -106,7 +106,7 @@
 @cappa.command(name="config", help="The configuration: check, apply, show, history, from-manifest.")
 @dataclasses.dataclass
 class Config:
-    command: cappa.Subcommands[typing.Union[Check, Apply, Show, History, FromManifest]]
+    command: cappa.Subcommands[Check | Apply | Show | History | FromManifest]
 
 
 @cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
@@ -124,9 +124,7 @@
 @cappa.command(name="logs", help="Prints several daemons' log rings, merged by time.")
 @dataclasses.dataclass
 class Logs:
-    files: typing.Annotated[
-        typing.List[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")
-    ]
+    files: typing.Annotated[list[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")]
     request: typing.Annotated[str, cappa.Arg(long=True, help="only what concerns this request id")] = ""
 
     def __call__(self):
@@ -149,10 +147,10 @@
 class RunBook:
     book: str
     keeper: Keepers
-    router: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
+    router: typing.Annotated[list[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
         dataclasses.field(default_factory=list)
     )
-    set: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="name=value for what the runbook needs")] = (
+    set: typing.Annotated[list[str], cappa.Arg(long=True, help="name=value for what the runbook needs")] = (
         dataclasses.field(default_factory=list)
     )
     dry_run: typing.Annotated[
@@ -201,7 +199,7 @@
 @cappa.command(name="mothshed", help="Operates a mothshed fleet.")
 @dataclasses.dataclass
 class Mothshed:
-    command: cappa.Subcommands[typing.Union[Config, Condition, Logs, RunBook, Fleet]]
+    command: cappa.Subcommands[Config | Condition | Logs | RunBook | Fleet]
 
 
 def main():
--- a/mothshed/programs/process.py
+++ b/mothshed/programs/process.py
@@ -16,7 +16,7 @@
 import mothshed.common.settings as settings_module
 import mothshed.common.world as world
 
-Flag = typing.Optional[str]
+Flag = str | None
 
 
 @dataclasses.dataclass
@@ -30,7 +30,7 @@
     http: typing.Annotated[Flag, cappa.Arg(long=True, help="ip:port for HTTP")] = None
     cell: typing.Annotated[Flag, cappa.Arg(long=True, help="zone this machine is in")] = None
     list_url: typing.Annotated[Flag, cappa.Arg(long=True, help="URL of the platform's list of replicas")] = None
-    seeds: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="seed ip:port, up to three times")] = (
+    seeds: typing.Annotated[list[str], cappa.Arg(long=True, help="seed ip:port, up to three times")] = (
         dataclasses.field(default_factory=list)
     )
     ring: typing.Annotated[Flag, cappa.Arg(long=True, help="file for the log ring when something goes wrong")] = None
--- a/tests/all_orders.py
+++ b/tests/all_orders.py
@@ -63,7 +63,7 @@
     if not lines:
         return range(len(pool.waiting))
     seen = {}
-    for at, (goal, sender, kind, body) in enumerate(pool.waiting):
+    for at, (goal, sender, _kind, _body) in enumerate(pool.waiting):
         seen.setdefault((goal, sender), at)
     return sorted(seen.values())
 
--- a/tests/bare_http.py
+++ b/tests/bare_http.py
@@ -66,7 +66,7 @@
 
     def __init__(self):
         self.server = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
         self.conns = []
         threading.Thread(target=self.accept, daemon=True).start()
 
--- a/tests/platform_door.py
+++ b/tests/platform_door.py
@@ -75,7 +75,7 @@
 
     def put(self, body, base):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        for turn in range(3):  # without a clear answer it is sent again unchanged, as operators do
+        for _turn in range(3):  # without a clear answer it is sent again unchanged, as operators do
             answer = platform_site.ask(
                 self.address,
                 "PUT",
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -21,8 +21,8 @@
 FOLDER = pathlib.Path(__file__).parent.parent / "platform"
 sys.path.append(str(FOLDER))
 
-import operator_front
-import replica_speech
+import operator_front  # noqa: E402 (found only through the folder added above)
+import replica_speech  # noqa: E402 (found only through the folder added above)
 
 ENGINE = {
     "berths": 8,
@@ -131,7 +131,8 @@
     """Serves until its stop(); returns ip:port."""
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
-    return "%s:%d" % server.bind_addr[:2]
+    host, port = server.bind_addr[:2]
+    return f"{host}:{port}"
 
 
 def ask(address, method, target, body=None, headers=(), chunked=False):
@@ -202,7 +203,7 @@
         return f"{name}.example", found
 
     def ask(self, host, target="/p/x", body=b"prompt", method="POST", headers=(), prompt=True, chunked=False):
-        """(id, Answer)"""
+        """Send a request; give its id and the answer."""
         own = f"t{next(stand_in.COUNT):08x}"
         rows = [("Host", host), ("Try-Id", own), ("Time-Left", "4000"), *(PROMPT.items() if prompt else ()), *headers]
         return own, ask(self.address, method, target, body, rows, chunked)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -52,7 +52,7 @@
 
 class Replica(bare_http.Listener):
     def __init__(self, platform, depot, leg, **facts):
-        """facts: zone, berths, condition; events: of a stream, 0 for one body; body: that one; gap: s between events."""
+        """Facts: zone, berths, condition; events: of a stream, 0 for one body; body: that one; gap: s between them."""
         self.name, self.platform, self.depot, self.leg = f"i-{secrets.token_hex(4)}", platform, depot, leg
         self.facts = {
             "zone": "a",
--- a/tests/test_delivery_connections.py
+++ b/tests/test_delivery_connections.py
@@ -211,7 +211,7 @@
 
 def test_a_silent_replica_is_a_fault_after_the_time_it_was_given(idle):
     with socket.create_server(("127.0.0.1", 0)) as silent:
-        address = "127.0.0.1:%d" % silent.getsockname()[1]
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
         with pytest.raises(web.WebFault) as fault:
             idle.exchange("GET", address, "/", {}, None, 0.05)
         assert fault.value.sent and "Timeout" in str(fault.value)
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -76,7 +76,11 @@
     for order in itertools.permutations(["p1", "p2", "p3"]):
         assert [one.home(order, row) for row in rows] == homes
     assert all(homes.count(n) > 30 for n in ("p1", "p2", "p3"))
-    assert all(new == old for new, old in zip([one.home(["p1", "p2"], row) for row in rows], homes) if old != "p3")
+    assert all(
+        new == old
+        for new, old in zip([one.home(["p1", "p2"], row) for row in rows], homes, strict=False)
+        if old != "p3"
+    )
     assert one.home(["p1"], ask(parts=[("own", 5)])) is None and one.home([], rows[0]) is None
 
 
--- a/tests/test_hurt_fleet.py
+++ b/tests/test_hurt_fleet.py
@@ -15,7 +15,7 @@
     )
     assert {rule: found for rule, found in rules.items() if found} == {}
     assert sum(r["end"] == "whole" for r in rows) > 50
-    for at, name in fleet_faults.parse(FAULTS):
+    for _at, name in fleet_faults.parse(FAULTS):
         assert any(line.endswith(name) for line in lines), name
     assert sum("exit 0" in line for line in lines) >= 3  # the configuration changed amid them
     told = "".join(p.read_text() for p in pathlib.Path(tmp_path).glob("*.ring"))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -21,7 +21,7 @@
     seats = {n + "/1": {"address": WHO[n], "http": ""} for n in "ABC"}
     birth = {"i": 1, "t": 0, "c": {"op": "members", "members": seats}}
     found = {}
-    for name, mark in zip(names, marks):
+    for name, mark in zip(names, marks, strict=False):
         disk = all_orders.disk()
         rows = [birth] + [{"i": i, "t": t, "c": c} for i, t, c in entries.get(name, [])]
         if mark == "1":
@@ -114,7 +114,7 @@
     assert all_orders.explore(make, check, 3) > 50
     pool, seats = all_orders.Pool(), None
     seats = group(pool, {}, "ABC", "122")  # one is not empty: nobody is born
-    for turn in range(3):
+    for _turn in range(3):
         pool.time += 1
         for seat in seats.values():
             seat.keep_joining(pool.time)
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -173,7 +173,7 @@
         and len(site.platform.ran(own)) == 1
         and platform_site.asked(writers) == 2
     )
-    platform_site.until(lambda: not reader.held)
+    platform_site.until(lambda reader=reader: not reader.held)
 
 
 def test_no_handle_is_left_behind_by_any_failure(site):
@@ -182,7 +182,7 @@
         for writer in writers:
             writer.always = fault
         site.ask(host)
-        platform_site.until(lambda: not reader.held)
+        platform_site.until(lambda reader=reader: not reader.held)
 
 
 # --- callers and time ----------------------------------------------------------
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -23,7 +23,7 @@
             line.strip("| ").split(" | ") for line in page if line.split(" | ")[1:2] == [day] and line.count(" | ") > 5
         ]
         assert len(cells) == 1, day
-        zero = [rule for rule, n in zip(proof_table.NEVER.values(), cells[0][2:]) if int(n) == 0]
+        zero = [rule for rule, n in zip(proof_table.NEVER.values(), cells[0][2:], strict=False) if int(n) == 0]
         assert zero == [] or zero == ["service returns"] and day in proof_table.NO_END
 
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -54,7 +54,7 @@
 
 
 def measure(table, jobs, out=print):
-    """sweep -> [[words, figures], ...]; the dearest trials begin first."""
+    """Map each sweep to its [[words, figures], ...]; the dearest trials begin first."""
     found = {sweep: [None] * len(rows) for sweep, (module, name, rows) in table.items()}
     todo = [
         (sweep, at, module, name, words)
@@ -85,14 +85,14 @@
         said = "  ".join(f"{x:g}: {y:.4g}" for x, y in points)
         due = sweeps.DESIGN[sweep]
         out(
-            f"{name} [{unit}] by {sweep}: at {due:g} {fits.at(line, due):.4g}, slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
+            f"{name} [{unit}] by {sweep}: at {due:g} {fits.at(line, due):.4g}, "
+            f"slope {line['slope']:.4g}, constant {line['constant']:.4g}, "
             f"error {100 * line['error']:.1f} %, worst {100 * line['worst']:.1f} %   ({said})"
         )
     for sweep in ("idle", "cuts"):
         for words, said in found.get(sweep, []):
-            out(
-                f"{sweep} {json.dumps(words)}: {json.dumps({k: round(v, 3) if isinstance(v, float) else v for k, v in said.items()})}"
-            )
+            rounded = {k: round(v, 3) if isinstance(v, float) else v for k, v in said.items()}
+            out(f"{sweep} {json.dumps(words)}: {json.dumps(rounded)}")
 
 
 def draw(found):
@@ -107,7 +107,7 @@
 )
 @dataclasses.dataclass
 class Capacity:
-    only: typing.Annotated[typing.List[str], cappa.Arg(long=True, help=f"a sweep: {', '.join(sweeps.FULL)}")] = (
+    only: typing.Annotated[list[str], cappa.Arg(long=True, help=f"a sweep: {', '.join(sweeps.FULL)}")] = (
         dataclasses.field(default_factory=list)
     )
     jobs: typing.Annotated[int, cappa.Arg(long=True, help=f"processes at once, at most {JOBS_MOST}")] = 4
--- a/tools/elections.py
+++ b/tools/elections.py
@@ -56,16 +56,21 @@
     return one(job[1])
 
 
+def quantile(times, share):
+    """Give the time that this share of the sorted (time, seed) rows stays within."""
+    return times[min(len(times) - 1, int(share * len(times)))][0]
+
+
 def main():
     seeds, count = simulate.seeds_and_jobs("times without an owner, simulated", "1-40")
     rows = list(simulate.many([("", s, "", "") for s in seeds], count, call))
     for at, name in enumerate(
         ("birth of all parts", "owner ready after a kill", "every router leased by it", "longest without a lease")
     ):
-        times = sorted((row[at], seed) for row, seed in zip(rows, seeds))
-        pick = lambda share: times[min(len(times) - 1, int(share * len(times)))][0]
+        times = sorted((row[at], seed) for row, seed in zip(rows, seeds, strict=False))
         print(
-            f"{name:26} p50 {pick(0.5):.2f} s  p90 {pick(0.9):.2f} s  p99 {pick(0.99):.2f} s  "
+            f"{name:26} p50 {quantile(times, 0.5):.2f} s  "
+            f"p90 {quantile(times, 0.9):.2f} s  p99 {quantile(times, 0.99):.2f} s  "
             f"worst {times[-1][0]:.2f} s (seed {times[-1][1]})"
         )
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -158,7 +158,7 @@
         return [s["http"] for n, s in self.settings.items() if n.startswith("keep")]
 
     def routers(self):
-        """zone -> HTTP addresses, as the platform hands them out."""
+        """Map each zone to its routers' HTTP addresses, as the platform hands them out."""
         found = {}
         for name, s in self.settings.items():
             if name.startswith("route"):
--- a/tools/fleet_run.py
+++ b/tools/fleet_run.py
@@ -39,7 +39,10 @@
             f"{kind:9} asked {len(by):4}  in time {share(len(good), len(by)):>8}  first token "
             f"p50 {middle(first, 0.5):.3f} s  p95 {middle(first, 0.95):.3f} s"
         )
-    count = lambda test: sum(1 for r in rows if test(r))
+
+    def count(test):
+        return sum(1 for r in rows if test(r))
+
     seen, extra = set(), 0
     for row in (r for r in ledger if r["kind"] == "seen"):
         extra += (row["request"], row["role"]) in seen
--- a/tools/hollow/design.py
+++ b/tools/hollow/design.py
@@ -131,7 +131,7 @@
 
 
 def running(size, chance, readers, writers):
-    """name -> requests that one router has running: drawn, as many as its share and the guessed spans say."""
+    """Draw the requests that one router has running at each replica, by its share and the guessed spans."""
     found = {}
     for names, span in ((readers, READING_S), (writers, WRITING_S)):
         count = size.requests * span
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -63,8 +63,9 @@
         self.desk = LoneDesk()
 
 
-def usage_reports(routers, size=design.Size(requests=design.REQUESTS_S / design.NODES)):
+def usage_reports(routers, size=None):
     """What one usage report costs the owner of a service part when so many routers report."""
+    size = size or design.Size(requests=design.REQUESTS_S / design.NODES)
     member = LoneMember()
     duty = usage_duty.UsageDuty(member)
     chance = design.seeded("usage", routers)
@@ -197,7 +198,7 @@
 
     def one():
         said = app(environ, lambda status, headers: count.__setitem__(0, count[0] + status.startswith("200")))
-        for event in said:
+        for _event in said:
             count[1] += 1
         if hasattr(said, "close"):
             said.close()
--- a/tools/hollow/real.py
+++ b/tools/hollow/real.py
@@ -27,10 +27,10 @@
 def idle_router(replicas, tenants):
     """Resident KiB of one router process, step by step, nothing served yet."""
     bare = condition_of()
-    import tools.hollow.design as design  # after the bare figure
     import mothshed.common.constants as constants
     import mothshed.data_plane.router as router_module
-    import mothshed.programs.process  # what the program itself imports beside
+    import mothshed.programs.process  # noqa: F401 (weighed: what the program itself imports beside)
+    import tools.hollow.design as design  # after the bare figure
     import tools.hollow.speech as speech_module
 
     loaded = condition_of()
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -6,10 +6,13 @@
 """
 
 import collections
+import collections.abc
 
 import tools.judge_traffic as judge_traffic
 import tools.recorded as recorded
 
+Spans = judge_traffic.Spans
+
 GAP_OLD = 2.0  # s; after an acknowledgement nothing older is handled
 GAP_BACK = 0.25  # s; after a replica saw the new one nothing falls back
 GAP_LEAVE = 3.0  # s; after the list shows a replica leaving
@@ -17,7 +20,7 @@
 GRACE = 0.15  # s; what real clocks and a loaded machine add; the simulator allows nothing
 
 
-def never_twice(history, ledger):
+def never_twice(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
     """An unsafe request runs once in each role; a user agent's own repeat is a request of its own."""
     by = recorded.asks(history)
     count = collections.Counter((r["request"], r["role"]) for r in recorded.runs(ledger))
@@ -29,8 +32,11 @@
     return found
 
 
-def bounced_never_ran(history, ledger):
-    """Each run belongs to an ask that was not bounced, begun before it; one served is over then, but for what a safe one left behind."""
+def bounced_never_ran(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
+    """Each run belongs to an ask that was not bounced, begun before it.
+
+    One that was served is over by then, but for what a safe one left behind.
+    """
     by, found = recorded.asks(history), []
     for run in recorded.runs(ledger):
         rows = by.get(run["request"], ())
@@ -45,11 +51,13 @@
     return found
 
 
-def pieces(row):
+def pieces(row: recorded.Row) -> list[list[str]]:
+    """Split a row's text into its pieces: place, run and digest of each."""
     return [p.split(".") for p in row["text"].split()]
 
 
-def whole_and_own(history, ledger):
+def whole_and_own(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
+    """Each piece of text is whole, in order, of one run and from the request's own memory."""
     found = []
     ended = {r["run"] for r in ledger if r["kind"] == "decoded"}
     for row in history:
@@ -71,7 +79,8 @@
     return found
 
 
-def own_memory(history, ledger):
+def own_memory(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
+    """A decode continues from the memory of its own prompt."""
     return [
         f"{r['request']} continued from memory {r['memory']}, its prompt is {r['digest']}"
         for r in recorded.runs(ledger, "decode")
@@ -79,7 +88,9 @@
     ]
 
 
-def new_after_ack(history, ledger, writes, grace=GRACE):
+def new_after_ack(
+    history: recorded.Rows, ledger: recorded.Rows, writes: recorded.Rows, grace: float = GRACE
+) -> list[str]:
     """writes: rows {"sequence", "acked"} of accepted configurations."""
     found = []
     for row in recorded.arrivals(ledger):
@@ -92,8 +103,10 @@
     return found
 
 
-def no_fall_back(history, ledger, grace=GRACE):
-    found, newest = [], []  # newest: (time, sequence) each time a higher one is first seen
+def no_fall_back(history: recorded.Rows, ledger: recorded.Rows, grace: float = GRACE) -> list[str]:
+    """Once a replica has seen a configuration, nothing older arrives after a short overlap."""
+    found: list[str] = []
+    newest: list[tuple[float, int]] = []  # newest: (time, sequence) each time a higher one is first seen
     for row in sorted(recorded.arrivals(ledger), key=lambda r: r["at"]):
         if not newest or row["sequence"] > newest[-1][1]:
             newest.append((row["at"], row["sequence"]))
@@ -106,7 +119,7 @@
     return found
 
 
-def writes_kept(accepted, refused, final):
+def writes_kept(accepted: recorded.Rows, refused: collections.abc.Iterable[str], final: recorded.Row) -> list[str]:
     """accepted, refused: sequences/ids of writes; final: the history read back."""
     rows = {r["id"]: r["sequence"] for r in final["rows"]}
     low = min(rows.values(), default=0)
@@ -121,7 +134,7 @@
     return found
 
 
-def leaving_left_alone(ledger, shown, grace=GRACE):
+def leaving_left_alone(ledger: recorded.Rows, shown: Spans, grace: float = GRACE) -> list[str]:
     """shown: replica -> spans [from, until or None] in which the list showed it leaving."""
     return [
         f"{r['replica']} got {r['request']} {r['at'] - since:.2f} s after it was shown leaving"
@@ -131,7 +144,8 @@
     ]
 
 
-def orders_fenced(ledger, grace=GRACE):
+def orders_fenced(ledger: recorded.Rows, grace: float = GRACE) -> list[str]:
+    """Orders to one replica come from one holder per fence, and fences never fall."""
     found = []
     by = collections.defaultdict(list)
     for row in ledger:
@@ -139,11 +153,11 @@
             by[row["replica"]].append(row)
     for name, rows in by.items():
         rows.sort(key=lambda r: r["at"])
-        who = {}
+        who: dict[int, str] = {}
         for row in rows:
             if who.setdefault(row["standing"], row["holder"]) != row["holder"]:
                 found.append(f"{name}: two holders with standing {row['standing']}")
-        for a, b in zip(rows, rows[1:]):
+        for a, b in zip(rows, rows[1:], strict=False):
             if a["holder"] != b["holder"] and b["at"] - a["at"] < GAP_TURN - grace:
                 found.append(f"{name}: {a['holder']} and {b['holder']} took turns within {b['at'] - a['at']:.2f} s")
             if b["taken"] and b["standing"] < a["standing"]:
@@ -151,7 +165,16 @@
     return found
 
 
-def all_rules(history, ledger, writes, shown, final, refused=(), grace=GRACE):
+def all_rules(
+    history: recorded.Rows,
+    ledger: recorded.Rows,
+    writes: recorded.Rows,
+    shown: Spans,
+    final: recorded.Row | None,
+    refused: collections.abc.Iterable[str] = (),
+    grace: float = GRACE,
+) -> dict[str, list[str]]:
+    """Map each rule to its breaches; `final` is the history read back, None where it was not read."""
     table = {
         "never twice": never_twice(history, ledger),
         "bounced never ran": bounced_never_ran(history, ledger),
--- a/tools/judge_traffic.py
+++ b/tools/judge_traffic.py
@@ -4,20 +4,26 @@
 """
 
 import collections
+import typing
 
 import tools.recorded as recorded
 
+Spans: typing.TypeAlias = dict[str, list[tuple[float, float | None]]]  # from and until, by replica
+
 BUDGET = (10.0, 0.2, 2)  # window, share of the requests, one small slack for the whole fleet
 
 
-def few_extras(history, ledger):
+def few_extras(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
     """A request's first prefill and first decode are its own; every other send a replica saw is extra.
 
     The traffic is the requests, counted at their first prefill; each further ask of
     a user agent is a request again.
     """
     span, share, slack = BUDGET
-    by, count, first, more = recorded.asks(history), collections.Counter(), [], []
+    by = recorded.asks(history)
+    count: collections.Counter[tuple[str, str]] = collections.Counter()
+    first: list[float] = []
+    more: list[float] = []
     for row in sorted((r for r in ledger if r["kind"] == "seen"), key=lambda r: r["at"]):
         key = (row["request"], row["role"])
         count[key] += 1
@@ -34,7 +40,7 @@
     return found
 
 
-def freed(ledger, upto, lapse=True):
+def freed(ledger: recorded.Rows, upto: float, lapse: bool = True) -> list[str]:
     """Every export is taken away again: freed, gone with its engine or, where a router was lost, lapsed."""
     out = {(r["send"], r["engine"]) for r in ledger if r["kind"] == "free" or lapse and r["kind"] == "lapse"}
     alive = {r["replica"]: r.get("engine") for r in ledger if r["kind"] in ("start", "gone")}
@@ -48,7 +54,7 @@
     ]
 
 
-def answered_at_once(history, most=4.0):
+def answered_at_once(history: recorded.Rows, most: float = 4.0) -> list[str]:
     """A bounce never comes later than the waits for a place and a lease allow."""
     return [
         f"{r['id']} was bounced after {r['done'] - r['sent']:.2f} s"
@@ -57,7 +63,13 @@
     ]
 
 
-def nothing_dropped(history, ledger, hits, places, keepers=()):
+def nothing_dropped(
+    history: recorded.Rows,
+    ledger: recorded.Rows,
+    hits: dict[str, list[tuple[float, float]]],
+    places: dict[str, str],
+    keepers: typing.Sequence[str] = (),
+) -> list[str]:
     """What ran into nothing unplanned is not dropped, whatever stops or changes meanwhile.
 
     hits: machine -> spans [from, until] of what befell it; places: router's address ->
@@ -69,27 +81,28 @@
         if row["kind"] == "seen":
             saw[row["request"]].add(row["replica"])
 
-    def met(name, row):
+    def met(name: str, row: recorded.Row) -> bool:
         return any(since <= row["done"] and until >= row["sent"] for since, until in hits.get(name, ()))
 
     found = []
     for row in history:
         if row["end"] not in ("lost", "broken") and row["verdict"] != "may_have_run":
             continue
-        own = {places.get(row["router"], row["router"])} | saw[row["id"]]
+        router: str = row["router"]
+        own: set[str] = {places.get(router, router)} | saw[row["id"]]
         if not any(met(n, row) for n in own) and 2 * sum(met(k, row) for k in keepers) <= len(keepers):
             found.append(f"{row['id']} ended {row['end']} {row['status']} {row['verdict']} {row.get('error', '')}")
     return found
 
 
-def nothing_bounced(history):
+def nothing_bounced(history: recorded.Rows) -> list[str]:
     """Where only planned things happen at the usual load: no 503 but a stopping router's."""
     return [
         f"{r['id']} was bounced: {r['error']}" for r in history if r["status"] == 503 and "stopping" not in r["error"]
     ]
 
 
-def none_starved(history, rushing, share=0.95):
+def none_starved(history: recorded.Rows, rushing: str, share: float = 0.95) -> list[str]:
     """Of the other tenants' requests, nearly all are served while one tenant rushes."""
     last = {}
     for row in history:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -13,6 +13,8 @@
 
 import argparse
 import collections
+import functools
+import itertools
 import json
 import pathlib
 import sys
@@ -124,7 +126,8 @@
     for name, hurt in (("no death", None), ("owner killed at 5 s", lambda f: f.later(5, lambda: f.kill(f.owner())))):
         f = play(args.seed, calls, real_fleet.document(args.deployment), args.seconds, args.deployment, hurt=hurt)
         first = sorted(r["first"] for r in f.rows if r["end"] == "whole")
-        table[name] = {**figures(f.rows), "longest_gap": round(max(b - a for a, b in zip(first, first[1:])), 3)}
+        longest_gap = max(later - earlier for earlier, later in itertools.pairwise(first))
+        table[name] = {**figures(f.rows), "longest_gap": round(longest_gap, 3)}
         show(name, table[name])
     return table
 
@@ -141,7 +144,7 @@
         count = f.net.count
         f.run(10)
         rate = (f.net.count - count) / 10 / (routers + 3)
-        f.operator(lambda: f.apply("second"))
+        f.operator(functools.partial(f.apply, "second"))
         while not (len(f.writes) > 1 and all(p.lease.active == 2 for p in parts)):
             f.run(0.005)
             if f.loop.time > began + 60:
--- a/tools/protections.py
+++ b/tools/protections.py
@@ -65,7 +65,7 @@
     if args.days == "all":
         sys.exit(1 if every_day(args.jobs, args.seeds) else 0)
     missed = 0
-    for name, (patch, day, rule) in ROWS.items():
+    for name, (_patch, day, rule) in ROWS.items():
         found = broken_by(name)
         missed += not found
         print(
--- a/tools/runbook_verbs.py
+++ b/tools/runbook_verbs.py
@@ -46,7 +46,7 @@
 
 
 def seats(book):
-    """part -> names of its members, as the owner has them."""
+    """Map each part to the names of its members, as the owner has them."""
     found = {}
     for c in keepers(book).values():
         for row in c["parts"]:
--- a/tools/service.py
+++ b/tools/service.py
@@ -42,7 +42,7 @@
 
 
 def figures(history):
-    """kind -> [asked, served, begun within FIRST, whole in time]."""
+    """Map each kind to [asked, served, begun within FIRST, whole in time]."""
     table = collections.defaultdict(lambda: [0, 0, 0, 0])
     for rows in recorded.asks(history).values():
         row = table[rows[0]["kind"]]
--- a/tools/service_table.py
+++ b/tools/service_table.py
@@ -16,9 +16,9 @@
     print("| day | deployment | kind | asked | served | begun in 1 s | in time |\n|---|---|---|---|---|---|---|")
     jobs = [(n, s, d, "brief") for n in days.DAYS for d in sorted(deployments.DEPLOYMENTS) for s in seeds]
     sums = collections.defaultdict(lambda: [0, 0, 0, 0])
-    for (name, seed, deployment, size), (broken, table) in simulate.many(jobs, count, day_figures):
+    for (name, seed, deployment, _size), (_broken, table) in simulate.many(jobs, count, day_figures):
         for kind, row in table.items():
-            sums[kind] = [a + b for a, b in zip(sums[kind], row)]
+            sums[kind] = [a + b for a, b in zip(sums[kind], row, strict=False)]
         if seed == seeds[-1]:
             for kind, (asked, *rest) in sorted(sums.items()):
                 print(
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -118,7 +118,9 @@
             label[0] += 1
             return self.desk(machine, settings["address"], label[0])
 
-        mark = lambda n: f"{self.loop.random.getrandbits(8 * n):x}"
+        def mark(length):
+            return f"{self.loop.random.getrandbits(8 * length):x}"
+
         keeper = keeper_module.Keeper(make(), settings, make, disk, mark)
         keeper.run()
         self.parts[name] = keeper
--- a/tools/simulator/operator_client.py
+++ b/tools/simulator/operator_client.py
@@ -13,10 +13,10 @@
     def ask(self, method, path, body=None, most=8):
         """One operator's question to the keepers, tried until answered."""
         chance = self.fleet.random
-        for turn in range(most):
+        for _turn in range(most):
             url = f"http://{chance.choice(self.fleet.http('keep'))}{path}"
             try:
-                for hop in range(4):
+                for _hop in range(4):
                     response = self.desk.web.send(method, url, body, read=2.0)
                     status, said = response.status, response.body()
                     if status != 307:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import threading
-import time
 
 import tools.deployments as deployments
 import tools.fleet_run as fleet_run
@@ -77,7 +76,7 @@
 
 
 def sample(fleet):
-    """daemon -> (KiB resident, threads, open files, KiB in its data folder)."""
+    """Map each daemon to (KiB resident, threads, open files, KiB in its data folder)."""
     found = {}
     for name, settings in fleet.settings.items():
         pid = fleet.procs[name].pid
@@ -102,7 +101,10 @@
 
     faults = ",".join(f"{at}:config" for at in range(3, int(seconds) - 5, 4))
     folder = tempfile.mkdtemp(prefix="mothshed-soak-")
-    begun = lambda fleet: threading.Thread(target=watch, args=(fleet,), daemon=True).start()
+
+    def begun(fleet):
+        threading.Thread(target=watch, args=(fleet,), daemon=True).start()
+
     try:
         rules, rows, ledger = fleet_run.run(folder, deployment, seconds, None, faults, 1, begun=begun)
     finally:
@@ -110,10 +112,11 @@
         shutil.rmtree(folder, ignore_errors=True)
     early, late = samples[int(WARM * len(samples))], samples[-1]
     print(
-        "| daemon | resident KiB, warm | at the end | threads | | open files | | data KiB | |\n|---|---|---|---|---|---|---|---|---|"
+        "| daemon | resident KiB, warm | at the end | threads | | open files | | data KiB | |\n"
+        "|---|---|---|---|---|---|---|---|---|"
     )
     for name in sorted(late):
-        print(f"| {name} | " + " | ".join(f"{a} | {b}" for a, b in zip(early[name], late[name])) + " |")
+        print(f"| {name} | " + " | ".join(f"{a} | {b}" for a, b in zip(early[name], late[name], strict=False)) + " |")
     return {rule: found for rule, found in rules.items() if found}
 
 
@@ -139,7 +142,8 @@
         if said:
             count, asked, whole, writes, tables = said
             print(
-                f"{job[2]} seed {job[1]}: {args.minutes:.0f} min, {count} faults, {asked} requests, {whole / asked:.1%} served, "
+                f"{job[2]} seed {job[1]}: {args.minutes:.0f} min, {count} faults, {asked} requests, "
+                f"{whole / asked:.1%} served, "
                 f"{writes} documents; at the end " + ", ".join(f"{k} {n}" for k, n in tables.items()),
                 flush=True,
             )
--- a/tools/stand_in_list.py
+++ b/tools/stand_in_list.py
@@ -46,7 +46,7 @@
             return next(items for at, items in reversed(self.past) if at <= upto)
 
     def history(self):
-        """name -> spans [from, until or None] in which it was shown as leaving."""
+        """Map each name to spans [from, until or None] in which it was shown as leaving."""
         found = {}
         with self.lock:
             for at, items in self.past:
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -6,10 +6,10 @@
 import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.replicas as replicas
 import mothshed.control_plane.config_part as config_part
-import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.member as member
 import mothshed.control_plane.orders as orders
+import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.replication as replication
 import mothshed.control_plane.service_part as service_part
 import mothshed.data_plane.admission as admission
--- a/tools/weight.py
+++ b/tools/weight.py
@@ -5,7 +5,7 @@
 
 
 def weights(f, back=None):
-    """rule -> things it judged. back: the moment from which service must be whole again."""
+    """Count the things that each rule judged. back: the moment from which service must be whole again."""
     arrived = recorded.arrivals(f.ledger)
     first_seen = {}
     for row in sorted(arrived, key=lambda r: r["at"]):
