--- /dev/null
+++ b/mothshed/programs/document_file.py
@@ -0,0 +1,15 @@
+"""Reads a configuration document from the file that an operator names."""
+
+import json
+import pathlib
+import typing
+
+import cappa
+
+
+def read(path: str) -> typing.Any:
+    """Parse the JSON in the file; end the command with exit code 2 if that can't be done."""
+    try:
+        return json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as fault:
+        raise cappa.Exit(f"{path}: {fault}", code=2) from fault
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -16,6 +16,7 @@
 import mothshed.common.configuration as configuration
 import mothshed.common.manifests as manifests
 import mothshed.programs.ask as ask
+import mothshed.programs.document_file as document_file
 import mothshed.programs.logs as logs_module
 
 Keepers = typing.Annotated[
@@ -28,20 +29,13 @@
     print(json.dumps(body, indent=2))
 
 
-def document_of(path):
-    try:
-        return json.loads(pathlib.Path(path).read_text())
-    except (OSError, ValueError) as e:
-        raise cappa.Exit(f"{path}: {e}", code=2) from e
-
-
 @cappa.command(name="check", help="Checks a configuration document and lists every fault; changes nothing.")
 @dataclasses.dataclass
 class Check:
     file: str
 
     def __call__(self):
-        found = configuration.faults(document_of(self.file))
+        found = configuration.faults(document_file.read(self.file))
         if found:
             raise cappa.Exit("\n".join(found), code=2)
         print("valid")
@@ -56,7 +50,7 @@
     by: typing.Annotated[str, cappa.Arg(long=True, help="who applies it")] = ""
 
     def __call__(self):
-        document = document_of(self.file)
+        document = document_file.read(self.file)
         found = configuration.faults(document)
         if found:
             raise cappa.Exit("nothing was applied:\n" + "\n".join(found), code=2)
--- a/tools/runbook_verbs.py
+++ b/tools/runbook_verbs.py
@@ -8,8 +8,9 @@
 
 import re
 
+import mothshed.common.configuration as configuration
 import mothshed.programs.ask as ask
-import mothshed.programs.operate as operate
+import mothshed.programs.document_file as document_file
 
 CHECKS, DEEDS = {}, {}
 
@@ -110,7 +111,7 @@
 
 @check
 def document_valid(book, file):
-    found = operate.configuration.faults(operate.document_of(file))
+    found = configuration.faults(document_file.read(file))
     return "; ".join(found) or None
 
 
@@ -157,7 +158,7 @@
 
 @deed
 def apply_document(book, file):
-    return applied(book, operate.document_of(file))
+    return applied(book, document_file.read(file))
 
 
 @deed
