--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -16,10 +16,11 @@
 import mothshed.common.configuration as configuration
 import mothshed.common.manifests as manifests
 import mothshed.programs.ask as ask
+import mothshed.programs.document_file as document_file
 import mothshed.programs.logs as logs_module
 
 Keepers = typing.Annotated[
-    typing.List[str],
+    list[str],
     cappa.Arg(long="--keeper", required=True, help="ip:port of a keeper's HTTP front; may be given several times"),
 ]
 
@@ -28,20 +29,13 @@
     print(json.dumps(body, indent=2))
 
 
-def document_of(path):
-    try:
-        return json.loads(pathlib.Path(path).read_text())
-    except (OSError, ValueError) as e:
-        raise cappa.Exit(f"{path}: {e}", code=2) from e
-
-
 @cappa.command(name="check", help="Checks a configuration document and lists every fault; changes nothing.")
 @dataclasses.dataclass
 class Check:
     file: str
 
     def __call__(self):
-        found = configuration.faults(document_of(self.file))
+        found = configuration.faults(document_file.read(self.file))
         if found:
             raise cappa.Exit("\n".join(found), code=2)
         print("valid")
@@ -56,7 +50,7 @@
     by: typing.Annotated[str, cappa.Arg(long=True, help="who applies it")] = ""
 
     def __call__(self):
-        document = document_of(self.file)
+        document = document_file.read(self.file)
         found = configuration.faults(document)
         if found:
             raise cappa.Exit("nothing was applied:\n" + "\n".join(found), code=2)
@@ -106,7 +100,7 @@
 @cappa.command(name="config", help="The configuration: check, apply, show, history, from-manifest.")
 @dataclasses.dataclass
 class Config:
-    command: cappa.Subcommands[typing.Union[Check, Apply, Show, History, FromManifest]]
+    command: cappa.Subcommands[Check | Apply | Show | History | FromManifest]
 
 
 @cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
@@ -124,9 +118,7 @@
 @cappa.command(name="logs", help="Prints several daemons' log rings, merged by time.")
 @dataclasses.dataclass
 class Logs:
-    files: typing.Annotated[
-        typing.List[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")
-    ]
+    files: typing.Annotated[list[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")]
     request: typing.Annotated[str, cappa.Arg(long=True, help="only what concerns this request id")] = ""
 
     def __call__(self):
@@ -149,10 +141,10 @@
 class RunBook:
     book: str
     keeper: Keepers
-    router: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
+    router: typing.Annotated[list[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
         dataclasses.field(default_factory=list)
     )
-    set: typing.Annotated[typing.List[str], cappa.Arg(long=True, help="name=value for what the runbook needs")] = (
+    set: typing.Annotated[list[str], cappa.Arg(long=True, help="name=value for what the runbook needs")] = (
         dataclasses.field(default_factory=list)
     )
     dry_run: typing.Annotated[
@@ -201,7 +193,7 @@
 @cappa.command(name="mothshed", help="Operates a mothshed fleet.")
 @dataclasses.dataclass
 class Mothshed:
-    command: cappa.Subcommands[typing.Union[Config, Condition, Logs, RunBook, Fleet]]
+    command: cappa.Subcommands[Config | Condition | Logs | RunBook | Fleet]
 
 
 def main():
