--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -128,3 +128,8 @@
 
     def document(self):
         return self.view[2]
+
+    def current(self):
+        """(sequence to serve under now or None, its document), both of one moment."""
+        active, until, doc = self.view
+        return (active, doc) if doc is not None and self.desk.now() < until else (None, doc)
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -52,7 +52,7 @@
 
         A change that leaves the request's route alone is no reason to read its prompt again.
         """
-        sequence, document = self.router.lease.sequence(), self.router.lease.document()
+        sequence, document = self.router.lease.current()
         if sequence is None:
             return False
         if sequence != self.pair.sequence:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -109,6 +109,9 @@
     def sequence(self):
         return self.form and self.form[0]
 
+    def current(self):
+        return self.form or (None, None)
+
     def document(self):
         return self.form and self.form[1]
 
