Hollow fleets are measured over six seconds: two were noise of the shuffles

test_a_router_sends_no_more_when_there_are_more_of_them failed with 2,250 bytes a second at 16 routers against 2,042 at 48: the fewest sent most. Over 2 s a router shuffles four times or so, at random moments. Ruled out: a change of what is sent (records a shuffle are the same). The check on bytes is now 1.05 in place of 1.1.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,7 +27,7 @@
     sent = [said["router"]["sent records"] for said in steady.values()]
     assert max(sent) < 1.05 * min(sent)
     told = [said["router"]["sent bytes"] for said in steady.values()]
-    assert max(told) < 1.1 * min(told)
+    assert max(told) < 1.05 * min(told)
 
 
 def test_the_owner_is_asked_four_times_a_second_by_everyone(steady):
--- a/tools/hollow/trials.py
+++ b/tools/hollow/trials.py
@@ -9,7 +9,7 @@
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
 
-SPAN = 2.0  # simulated s that are measured
+SPAN = 6.0  # simulated s that are measured: a dozen shuffles of each router, so that their spread evens out
 
 
 def resident():
