--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -128,16 +128,13 @@
 
     def drain(self):
         """Hands every led part to a successor and leaves the groups; True if all were taken over."""
-        good = True
-        for seat in self.members:
-            good = bool(self.in_part(seat, lambda seat=seat: not seat.owns or seat.hand_over())) and good
         for seat in self.members:
             self.in_part(seat, seat.leave)
         self.desk.pause(2 * constants.HEART_BEAT)
         until = self.desk.now() + constants.LEAVE_WAIT
         while self.desk.now() < until and not all(seat.released for seat in self.members):
             self.desk.pause(constants.HEART_BEAT)
-        return good
+        return not any(seat.owns for seat in self.members)
 
     def condition(self):
         parts = [m.condition() for m in self.members]
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -43,7 +43,7 @@
 
     def keep_joining(self, now):
         if self.leaving:
-            self.ask_to_leave()
+            self.keep_leaving()
             return
         if now - self.asked_at < constants.JOIN_BEAT or self.owns:
             return
@@ -149,14 +149,17 @@
 
     # --- a member that stops ---
     def leave(self):
-        """This member's process is to stop: it asks to be replaced or let go, and stands for nothing."""
+        """This member's process is to stop: it hands over, and asks to be replaced or let go."""
         self.leaving = True
-        self.ask_to_leave()
+        self.keep_leaving()
 
-    def ask_to_leave(self):
-        if self.who not in self.members:
+    def keep_leaving(self):
+        """The next step of leaving; again on every heartbeat until `released`."""
+        if self.owns:
+            self.hand_over()
+        elif self.who not in self.members:
             self.released = True
-        elif self.owner and self.owner != self.who and not self.released:
+        elif self.owner and not self.released:
             self.tell(self.owner, "leave")
 
     def on_leave(self, sender, body):
