--- /dev/null
+++ b/tests/test_disk_protections.py
@@ -0,0 +1,99 @@
+"""Each protection of a part's log taken out: the same script must show what is then lost."""
+
+import errno
+
+import pytest
+
+import mothshed.common.disk as disk_module
+import mothshed.common.disk_log as disk_log
+import mothshed.common.log_format as log_format
+import tests.log_crashes as log_crashes
+import tools.simulator.volatile_folder as volatile_folder
+
+
+def put_unsynced(self, name, data):
+    """Disk.put without its first sync."""
+    handle = self.files.create(name + disk_module.UNFINISHED)
+    self.write_all(handle, data)
+    self.files.rename(name + disk_module.UNFINISHED, name)
+    self.files.sync_names()
+
+
+def put_unnamed(self, name, data):
+    """Disk.put without the sync of the folder."""
+    self.close(name)
+    handle = self.files.create(name + disk_module.UNFINISHED)
+    self.write_all(handle, data)
+    self.files.fsync(handle)
+    self.files.rename(name + disk_module.UNFINISHED, name)
+
+
+def put_in_place(self, name, data):
+    """Disk.put without a temporary name."""
+    handle = self.files.create(name)
+    self.write_all(handle, data)
+    self.files.fsync(handle)
+    self.files.sync_names()
+
+
+def put_one_by_one(self, entries):
+    """PartLog.put with a frame for every entry, all synced at once."""
+    rows = [log_format.encode(entry) for entry in entries]
+    if not self.segment:
+        self.begin_segment(rows[:1])
+        rows = rows[1:]
+    if rows:
+        self.disk.append(self.segment_name(self.segment), b"".join(log_format.frame([row]) for row in rows))
+        self.disk.sync(self.segment_name(self.segment))
+    for entry in entries:
+        self.take_entry(entry, 1)
+
+
+def put_snap_removing_first(self, snap, keep, put_snap=disk_log.PartLog.put_snap):
+    """PartLog.put_snap that makes room before it writes."""
+    self.disk.remove([name for name in self.disk.names()])
+    put_snap(self, snap, keep)
+
+
+PROTECTIONS = {
+    "a new file is synced before it is renamed": (disk_module.Disk, {"put": put_unsynced}),
+    "the folder is synced after a rename": (disk_module.Disk, {"put": put_unnamed}),
+    "a file is replaced by a rename": (disk_module.Disk, {"put": put_in_place}),
+    "an append is synced": (disk_module.Disk, {"sync": lambda self, name: None}),
+    "names are synced at opening": (disk_module.Disk, {"sync_names": lambda self: None}),
+    "the entries of one put are one frame": (disk_log.PartLog, {"put": put_one_by_one}),
+    "old files are removed last": (disk_log.PartLog, {"put_snap": put_snap_removing_first}),
+}
+
+
+@pytest.mark.parametrize("name", PROTECTIONS)
+def test_without_the_protection_a_loss_of_power_is_seen(name, monkeypatch):
+    owner, changes = PROTECTIONS[name]
+    states = log_crashes.states_of(log_crashes.SCRIPT)
+    for attribute, value in changes.items():
+        monkeypatch.setattr(owner, attribute, value)
+    with pytest.raises((AssertionError, disk_module.DiskDamaged)):
+        for stop in log_crashes.stops(log_crashes.SCRIPT, states=states):
+            log_crashes.check_stop(stop)
+
+
+def test_without_a_new_file_at_opening_a_failed_sync_is_believed(monkeypatch):
+    monkeypatch.setattr(disk_log.PartLog, "read_segment", log_crashes.read_segment_in_place)
+    with pytest.raises((AssertionError, disk_module.DiskDamaged)):
+        for stop in log_crashes.stops(log_crashes.SCRIPT, lambda: OSError(errno.EIO, "refused")):
+            log_crashes.check_stop(stop)
+
+
+def test_without_refusing_after_a_fault_a_later_write_is_lost(monkeypatch):
+    """The full disk leaves a part of a frame; the next one, acknowledged, stands behind it."""
+    folder = volatile_folder.VolatileFolder()
+    log = log_crashes.open_log(folder)
+    log.put([log_crashes.entry(1)])
+    folder.room = 20
+    with pytest.raises(disk_module.DiskFault):
+        log.put([log_crashes.entry(2)])
+    folder.room, log.failed = None, False
+    log.disk.failed.clear()
+    log.put([log_crashes.entry(2)])
+    with pytest.raises(disk_module.DiskDamaged):
+        log_crashes.open_log(folder)
--- a/tests/test_disk_walks.py
+++ b/tests/test_disk_walks.py
@@ -26,7 +26,8 @@
     max_examples=200,
     stateful_step_count=25,
 )
-UNSHRUNK = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], print_blob=False)
+# stops at the first walk that breaks; which one that is depends on the modules loaded
+UNSHRUNK = hypothesis.settings(SETTINGS, max_examples=2000, phases=[hypothesis.Phase.generate], print_blob=False)
 
 
 class Killed(volatile_folder.PowerLost):
@@ -98,6 +99,14 @@
         entries = [log_crashes.entry(first + n, term, text) for n in range(count)]
         self.write("put", (entries,), at, fault, self.random)
 
+    @stateful.rule(random=chances)
+    def fail_a_sync(self, random):
+        """An append's sync fails, the log is opened again, and later the power goes."""
+        first = self.log.last + 1
+        entries = [log_crashes.entry(first, max(self.log.term, self.log.last_term))]
+        self.write("put", (entries,), 2, lambda: OSError(errno.EIO, ""), random)
+        self.lose_power(random)
+
     @stateful.rule(vote=strategies.sampled_from(["", "a/1", "b/1"]), at=STEPS, fault=faults)
     def put_term(self, vote, at, fault):
         self.write("put_term", (self.log.term + 1, vote), at, fault, self.random)
