--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -14,7 +14,6 @@
 import mothshed.common.ring as ring
 import mothshed.common.verdict as verdict
 import mothshed.data_plane.deliver as deliver
-import mothshed.data_plane.routes as routes
 
 HOP = {
     "connection",
