Readable names and docstrings in the command line, the stand-in replica and the checker

bounce -> reject, bounced -> rejected, nothing_bounced -> nothing_rejected, bounced_never_ran -> rejected_never_ran, m -> memory, a and b -> requests and extras. Rule texts and fault words on the wire stay.

Ruled out: class docstrings changing the command line's help; `--help` of all commands is the same before and after.

--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -9,6 +9,7 @@
 
 
 def one(pool, method, url, body):
+    """Call one address and follow its redirects to the leader."""
     for _hop in range(4):
         status, said, goal = once(pool, method, url, body)
         if status != 307:
@@ -18,6 +19,7 @@
 
 
 def once(pool, method, url, body):
+    """Call once; give status, answer and where a redirect leads."""
     response = pool.request(
         method,
         url,
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -17,6 +17,8 @@
 )
 @dataclasses.dataclass
 class Keep(process.Place):
+    """The keeper daemon's flags; calling it runs the daemon."""
+
     def __call__(self):
         settings = process.load(self, keeper=True)
         make = process.desks(settings)
@@ -31,6 +33,7 @@
 
 
 def main():
+    """Run the command."""
     cappa.invoke(Keep)
 
 
--- a/mothshed/programs/logs.py
+++ b/mothshed/programs/logs.py
@@ -62,6 +62,7 @@
 
 
 def line(row):
+    """Give a row as one line: moment, process, kind and its other fields."""
     fields = [f"{k}={plain(v)}" for k, v in row.items() if k not in HEAD + EXTRA]
     moment = moment_of(row).isoformat(timespec="milliseconds").replace("+00:00", "Z")
     return " ".join([moment, row.get("process") or "-", str(row["message_type"]), *fields])
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -26,12 +26,15 @@
 
 
 def show(body):
+    """Print an answer as indented JSON."""
     print(json.dumps(body, indent=2))
 
 
 @cappa.command(name="check", help="Checks a configuration document and lists every fault; changes nothing.")
 @dataclasses.dataclass
 class Check:
+    """Flags of `config check`."""
+
     file: str
 
     def __call__(self):
@@ -44,6 +47,8 @@
 @cappa.command(name="apply", help="Applies a whole document over the sequence you read it from.")
 @dataclasses.dataclass
 class Apply:
+    """Flags of `config apply`."""
+
     file: str
     base: typing.Annotated[int, cappa.Arg(long=True, help="the sequence your document was made from; 0 for the first")]
     keeper: Keepers
@@ -63,6 +68,8 @@
 @cappa.command(name="show", help="Shows the active and the latest document and who has acknowledged it.")
 @dataclasses.dataclass
 class Show:
+    """Flags of `config show`."""
+
     keeper: Keepers
 
     def __call__(self):
@@ -72,6 +79,8 @@
 @cappa.command(name="history", help="Shows the accepted documents, oldest first.")
 @dataclasses.dataclass
 class History:
+    """Flags of `config history`."""
+
     keeper: Keepers
 
     def __call__(self):
@@ -79,6 +88,7 @@
 
 
 def read(keepers, path):
+    """Print what the keepers answer; end with code 1 if that is no success."""
     status, said = ask.any_of(keepers, "GET", path)
     show(said)
     if status != 200:
@@ -88,6 +98,8 @@
 @cappa.command(name="from-manifest", help="Prints the document that a Gateway-style manifest (YAML) stands for.")
 @dataclasses.dataclass
 class FromManifest:
+    """Flags of `config from-manifest`."""
+
     file: str
 
     def __call__(self):
@@ -100,12 +112,16 @@
 @cappa.command(name="config", help="The configuration: check, apply, show, history, from-manifest.")
 @dataclasses.dataclass
 class Config:
+    """The commands on the configuration."""
+
     command: cappa.Subcommands[Check | Apply | Show | History | FromManifest]
 
 
 @cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
 @dataclasses.dataclass
 class Condition:
+    """Flags of `condition`."""
+
     address: str
 
     def __call__(self):
@@ -118,6 +134,8 @@
 @cappa.command(name="logs", help="Prints several daemons' log rings, merged by time.")
 @dataclasses.dataclass
 class Logs:
+    """Flags of `logs`."""
+
     files: typing.Annotated[list[str], cappa.Arg(required=True, num_args=-1, help="what daemons wrote to their `ring`")]
     request: typing.Annotated[str, cappa.Arg(long=True, help="only what concerns this request id")] = ""
 
@@ -139,6 +157,8 @@
 )
 @dataclasses.dataclass
 class RunBook:
+    """Flags of `run`."""
+
     book: str
     keeper: Keepers
     router: typing.Annotated[list[str], cappa.Arg(long=True, help="ip:port of a router's HTTP front")] = (
@@ -169,12 +189,15 @@
 
 
 def by_hand(text):
+    """Wait until the operator has done a step by hand."""
     input(f"       {text}\n       press Enter when it is done ")
 
 
 @cappa.command(name="fleet", help="Starts a whole fleet on this machine, runs a bounded load, prints a report.")
 @dataclasses.dataclass
 class Fleet:
+    """Flags of `fleet`."""
+
     deployment: typing.Annotated[str, cappa.Arg(long=True, help="patinetes or tesfaye")] = "patinetes"
     seconds: typing.Annotated[float, cappa.Arg(long=True, help="length of the load")] = 20.0
     rate: typing.Annotated[float, cappa.Arg(long=True, help="requests a second; 0: the deployment's own")] = 0.0
@@ -193,10 +216,13 @@
 @cappa.command(name="mothshed", help="Operates a mothshed fleet.")
 @dataclasses.dataclass
 class Mothshed:
+    """All commands."""
+
     command: cappa.Subcommands[Config | Condition | Logs | RunBook | Fleet]
 
 
 def main():
+    """Run the command."""
     cappa.invoke(Mothshed)
 
 
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -16,6 +16,8 @@
 )
 @dataclasses.dataclass
 class Route(process.Place):
+    """The router daemon's flags; calling it runs the daemon."""
+
     def __call__(self):
         settings = process.load(self)
         router = router_module.Router(process.desks(settings)(), settings)
@@ -25,6 +27,7 @@
 
 
 def main():
+    """Run the command."""
     cappa.invoke(Route)
 
 
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -26,13 +26,13 @@
     count = collections.Counter((r["request"], r["role"]) for r in recorded.runs(ledger))
     found = []
     for (name, role), n in count.items():
-        most = max(1, sum(not recorded.bounced(r) for r in by.get(name, ())))
+        most = max(1, sum(not recorded.rejected(r) for r in by.get(name, ())))
         if n > most and not any(r["safe"] for r in by.get(name, ())):
             found.append(f"{name} ran {n} times as {role}")
     return found
 
 
-def bounced_never_ran(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
+def rejected_never_ran(history: recorded.Rows, ledger: recorded.Rows) -> list[str]:
     """Each run belongs to an ask that was not bounced, begun before it.
 
     One that was served is over by then, but for what a safe one left behind.
@@ -41,7 +41,7 @@
     for run in recorded.runs(ledger):
         rows = by.get(run["request"], ())
         good = any(
-            not recorded.bounced(r)
+            not recorded.rejected(r)
             and r["sent"] <= run["at"]
             and (r["safe"] or r["end"] != "whole" or run["at"] <= r["done"])
             for r in rows
@@ -177,7 +177,7 @@
     """Map each rule to its breaches; `final` is the history read back, None where it was not read."""
     table = {
         "never twice": never_twice(history, ledger),
-        "bounced never ran": bounced_never_ran(history, ledger),
+        "bounced never ran": rejected_never_ran(history, ledger),
         "whole and own": whole_and_own(history, ledger),
         "own memory": own_memory(history, ledger),
         "new after ack": new_after_ack(history, ledger, writes, grace),
--- a/tools/judge_traffic.py
+++ b/tools/judge_traffic.py
@@ -33,10 +33,10 @@
             first.append(row["at"])
     found = []
     for at in more:
-        a = sum(at - span < t <= at for t in first)
-        b = sum(at - span < t <= at for t in more)
-        if b > share * a + slack:
-            found.append(f"{b} extra sends against {a} requests in the 10 s before {at:.2f}")
+        requests = sum(at - span < time <= at for time in first)
+        extras = sum(at - span < time <= at for time in more)
+        if extras > share * requests + slack:
+            found.append(f"{extras} extra sends against {requests} requests in the 10 s before {at:.2f}")
     return found
 
 
@@ -95,7 +95,7 @@
     return found
 
 
-def nothing_bounced(history: recorded.Rows) -> list[str]:
+def nothing_rejected(history: recorded.Rows) -> list[str]:
     """Where only planned things happen at the usual load: no 503 but a stopping router's."""
     return [
         f"{r['id']} was bounced: {r['error']}" for r in history if r["status"] == 503 and "stopping" not in r["error"]
--- a/tools/recorded.py
+++ b/tools/recorded.py
@@ -12,7 +12,7 @@
     return [row for row in ledger if row["kind"] == "run" and (role is None or row["role"] == role)]
 
 
-def bounced(row: Row) -> bool:
+def rejected(row: Row) -> bool:
     """Tell whether the user agent learned that its request was refused and had not run."""
     return row["end"] == "refused" or bool(row["status"]) and row["verdict"] == "not_run"
 
--- a/tools/simulate.py
+++ b/tools/simulate.py
@@ -56,7 +56,7 @@
         f.names("keep"),
     )
     if name in GENTLE:
-        broken["nothing bounced"] = judge_traffic.nothing_bounced(f.rows)
+        broken["nothing bounced"] = judge_traffic.nothing_rejected(f.rows)
     broken["pool whole"] = end_of_day.pool_whole(f)
     broken["in time"] = service.in_time(
         f.rows, service.floor(name, size), None if back is None else start + back + BACK
--- a/tools/stand_in_replica.py
+++ b/tools/stand_in_replica.py
@@ -22,34 +22,38 @@
 
 
 class Replica:
+    """One model server as a WSGI application; `crash` ends it when a fault says so."""
+
     def __init__(self, memory, address, crash=lambda: os._exit(9)):
         self.memory, self.address, self.crash = memory, address, crash
         self.desk = memory.desk
 
     def __call__(self, environ, start):
-        path, m = environ["PATH_INFO"], self.memory
+        path, memory = environ["PATH_INFO"], self.memory
         environ["mothshed.arrived"] = self.desk.now()  # a dark replica answers late what reached it early
-        dark = m.fault.get("dark_until", 0) - self.desk.now()
+        dark = memory.fault.get("dark_until", 0) - self.desk.now()
         if dark > 0 and path != "/fault":
             self.desk.pause(min(dark, 30))
         data = front.body_of(environ)
         body = json.loads(data) if data else {}
         if path == "/condition":
-            return front.respond(start, 200, m.condition())
+            return front.respond(start, 200, memory.condition())
         if path == "/kv/pull":
-            self.desk.pause(m.fault.get("link", 0))
-            digest = m.pull(body["engine_id"], body["request_id"], body["block_ids"])
+            self.desk.pause(memory.fault.get("link", 0))
+            digest = memory.pull(body["engine_id"], body["request_id"], body["block_ids"])
             return front.respond(start, 200 if digest else 404, {"digest": digest})
         if path == "/kv/handshake":
             return front.respond(
-                start, 200, {"engine_id": m.engine, "agent": m.token(), "block_len": 256, "base": 4096, "heads": 8}
+                start,
+                200,
+                {"engine_id": memory.engine, "agent": memory.token(), "block_len": 256, "base": 4096, "heads": 8},
             )
         if path == "/kv/free":
-            good = m.free(body["engine_id"], body["request_id"])
+            good = memory.free(body["engine_id"], body["request_id"])
             return front.respond(start, 200 if good else 404, {"freed": good})
         if path == "/role":
-            good = m.order(body["role"], body["standing"], body["holder"], body["sequence"])
-            return front.respond(start, 200 if good else 409, {"standing": m.standing})
+            good = memory.order(body["role"], body["standing"], body["holder"], body["sequence"])
+            return front.respond(start, 200 if good else 409, {"standing": memory.standing})
         if path == "/fault":
             return self.set_fault(body, start)
         if path in ("/v1/completions", "/v1/chat/completions"):
@@ -57,21 +61,23 @@
         return front.fault(start, 404, "no such path")
 
     def set_fault(self, body, start):
-        m = self.memory
+        """Take over what goes wrong from now on."""
+        memory = self.memory
         if body.get("crash"):
             self.crash()
         if "dark" in body:
             body["dark_until"] = self.desk.now() + body.pop("dark")
-        m.hold = body.pop("hold", m.hold)
+        memory.hold = body.pop("hold", memory.hold)
         if body.pop("lapse", False):
-            with m.lock:
-                for held in m.held.values():
+            with memory.lock:
+                for held in memory.held.values():
                     held["born"] = -1e9
-            m.lapse()
-        m.fault = body
+            memory.lapse()
+        memory.fault = body
         return front.respond(start, 200, {})
 
-    def bounce(self, start, request, reason, status=503, kind="busy"):
+    def reject(self, start, request, reason, status=503, kind="busy"):
+        """Refuse a request that has not run."""
         return front.respond(
             start,
             status,
@@ -80,15 +86,16 @@
         )
 
     def complete(self, path, environ, body, start):
+        """Serve a prefill or a decode, by what the request says of its memory."""
         headers = front.headers_of(environ)
-        request, m = headers.get("x-request-id", ""), self.memory
+        request, memory = headers.get("x-request-id", ""), self.memory
         caller = headers.get("x-caller-request-id", request)  # the books go by the user agent's id
-        m.callers[request] = caller
+        memory.callers[request] = caller
         sequence = int(headers.get("x-config-sequence", 0))
         kv = body.get("kv_transfer_params") or {}
         role = "prefill" if kv.get("do_remote_decode") else "decode" if kv.get("do_remote_prefill") else ""
-        older = m.older(sequence)
-        m.ledger.add(
+        older = memory.older(sequence)
+        memory.ledger.add(
             "seen",
             request=caller,
             send=request,
@@ -98,42 +105,44 @@
             at=environ["mothshed.arrived"],
         )
         if older:
-            return self.bounce(start, request, "a newer configuration was seen here", 409, "older_configuration")
-        if not role or role != m.role or m.fault.get("bounce") == role:
-            return self.bounce(start, request, f"not serving {role or 'whole requests'}")
+            return self.reject(start, request, "a newer configuration was seen here", 409, "older_configuration")
+        if not role or role != memory.role or memory.fault.get("bounce") == role:
+            return self.reject(start, request, f"not serving {role or 'whole requests'}")
         try:
-            m.take_slot()
+            memory.take_slot()
         except replica_memory.Full:
-            return self.bounce(start, request, "queue is full")
+            return self.reject(start, request, "queue is full")
         if role == "prefill":
             try:
                 return self.prefill(path, request, body, sequence, start)
             finally:
-                m.give_slot()
+                memory.give_slot()
         return self.decode(path, request, body, kv, sequence, start)
 
     def prompt(self, path, body):
+        """Give the prompt of either form of request."""
         return replica_memory.replica_adapter.prompt_of(path, body)
 
     def prefill(self, path, request, body, sequence, start):
-        m = self.memory
+        """Read the prompt and answer with the handle of its exported memory."""
+        memory = self.memory
         if body.get("max_tokens") != 1 or body.get("stream"):
-            return self.bounce(start, request, "prefill needs max_tokens=1 and stream=false", 400, "bad_request")
+            return self.reject(start, request, "prefill needs max_tokens=1 and stream=false", 400, "bad_request")
         prompt = self.prompt(path, body)
-        run = m.token()
-        m.ledger.add(
+        run = memory.token()
+        memory.ledger.add(
             "run",
             role="prefill",
-            request=m.callers[request],
+            request=memory.callers[request],
             run=run,
             sequence=sequence,
             digest=replica_memory.digest_of(prompt),
         )
-        self.desk.pause(m.uncached(prompt) / replica_memory.READ_SPEED * m.fault.get("slow", 1))
-        blocks = m.export(request, prompt)
+        self.desk.pause(memory.uncached(prompt) / replica_memory.READ_SPEED * memory.fault.get("slow", 1))
+        blocks = memory.export(request, prompt)
         host, port = self.address.rsplit(":", 1)
         params = {
-            "remote_engine_id": m.engine,
+            "remote_engine_id": memory.engine,
             "remote_block_ids": blocks,
             "remote_request_id": request,
             "remote_host": host,
@@ -141,7 +150,7 @@
             "do_remote_prefill": True,
             "do_remote_decode": False,
         }
-        if m.fault.get("foreign_handle"):
+        if memory.fault.get("foreign_handle"):
             params["remote_request_id"] = "other-" + request
         said = {
             "id": f"cmpl-{request}",
@@ -149,10 +158,10 @@
             "kv_transfer_params": params,
             "choices": [{"index": 0, "text": "discard-me", "finish_reason": "length"}],
         }
-        if m.fault.get("no_handle"):
+        if memory.fault.get("no_handle"):
             del said["kv_transfer_params"]
-        m.ledger.add("prefilled", request=m.callers[request], run=run)
-        if m.fault.get("short_body"):
+        memory.ledger.add("prefilled", request=memory.callers[request], run=run)
+        if memory.fault.get("short_body"):
             start(
                 "200 OK", [("Content-Type", "application/json"), ("Content-Length", "5000"), ("X-Request-Id", request)]
             )
@@ -161,15 +170,15 @@
 
     def fetch(self, request, kv):
         """WAITING_FOR_REMOTE_KVS: handshake once per pair, then pull. None: the memory is gone."""
-        m, base = self.memory, f"http://{kv['remote_host']}:{kv['remote_port']}"
-        self.desk.pause(m.fault.get("link", 0))
+        memory, base = self.memory, f"http://{kv['remote_host']}:{kv['remote_port']}"
+        self.desk.pause(memory.fault.get("link", 0))
         try:
-            if kv["remote_engine_id"] not in m.shakes:
+            if kv["remote_engine_id"] not in memory.shakes:
                 status, said = self.desk.web.poll("GET", base + "/kv/handshake", read=2.0)
                 if said.get("engine_id") != kv["remote_engine_id"]:
                     return None
-                m.shakes.add(kv["remote_engine_id"])
-                m.ledger.add("handshake", engine=kv["remote_engine_id"])
+                memory.shakes.add(kv["remote_engine_id"])
+                memory.ledger.add("handshake", engine=kv["remote_engine_id"])
             status, said = self.desk.web.poll(
                 "POST",
                 base + "/kv/pull",
@@ -185,20 +194,21 @@
             return None
 
     def decode(self, path, request, body, kv, sequence, start):
-        m = self.memory
+        """Fetch the memory that the handle names and stream the answer."""
+        memory = self.memory
         try:
             digest = self.fetch(request, kv)
         except BaseException:
-            m.give_slot()
+            memory.give_slot()
             raise
         if digest is None:
-            m.give_slot()
-            return self.bounce(start, request, "held memory is gone", 409, "kv_gone")
-        run = m.token()
-        m.ledger.add(
+            memory.give_slot()
+            return self.reject(start, request, "held memory is gone", 409, "kv_gone")
+        run = memory.token()
+        memory.ledger.add(
             "run",
             role="decode",
-            request=m.callers[request],
+            request=memory.callers[request],
             run=run,
             sequence=sequence,
             memory=digest,
@@ -209,6 +219,7 @@
 
 
 def main():
+    """Serve one replica until killed."""
     parser = argparse.ArgumentParser(description="stand-in model server")
     parser.add_argument("--name", required=True)
     parser.add_argument("--address", required=True)
--- a/tools/token_stream.py
+++ b/tools/token_stream.py
@@ -9,7 +9,7 @@
     """The decode's stream; each token names its place, its run and the memory it came from."""
 
     def __init__(self, replica, path, request, body, digest, run):
-        self.m, self.path, self.request, self.run = replica.memory, path, request, run
+        self.memory, self.path, self.request, self.run = replica.memory, path, request, run
         self.count = body.get("max_tokens", 16)
         self.rows = self.events(digest)
         self.open = True
@@ -18,12 +18,13 @@
         return self.rows
 
     def events(self, digest):
-        m = self.m
+        """Yield each token's event, or what the fault in force makes of it."""
+        memory = self.memory
         for at in range(self.count):
-            m.desk.pause(m.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
-            if m.fault.get("cut_after") == at:
+            memory.desk.pause(memory.fault.get("slow", 1) / replica_memory.WRITE_SPEED)
+            if memory.fault.get("cut_after") == at:
                 raise ConnectionAbortedError("cut by a fault")
-            if m.fault.get("error_after") == at:
+            if memory.fault.get("error_after") == at:
                 yield b'data: {"error": {"message": "engine failed"}}\n\n'
                 return
             text, finish = f"{at}.{self.run}.{digest} ", "stop" if at == self.count - 1 else None
@@ -33,10 +34,11 @@
             chunk = {"id": f"cmpl-{self.request}", "object": "text_completion", "choices": [choice]}
             yield b"data: " + json.dumps(chunk).encode() + b"\n\n"
         yield b"data: [DONE]\n\n"
-        m.ledger.add("decoded", request=m.callers[self.request], run=self.run, tokens=self.count)
+        memory.ledger.add("decoded", request=memory.callers[self.request], run=self.run, tokens=self.count)
 
     def close(self):
+        """Stop streaming and give the place back, once."""
         if self.open:
             self.open = False
             self.rows.close()
-            self.m.give_slot()
+            self.memory.give_slot()
--- a/tools/weight.py
+++ b/tools/weight.py
@@ -16,7 +16,7 @@
     asked = {r["id"] for r in f.rows}
     return {
         "never twice": len({r["request"] for r in recorded.runs(f.ledger) if not safe.get(r["request"], False)}),
-        "bounced never ran": sum(recorded.bounced(r) for r in f.rows),
+        "bounced never ran": sum(recorded.rejected(r) for r in f.rows),
         "whole and own": sum(bool(r["text"]) for r in f.rows),
         "own memory": len(recorded.runs(f.ledger, "decode")),
         "new after ack": sum(any(r["at"] > at + judge.GAP_OLD for at in acked) for r in arrived),
