--- a/mothshed/common/disk.py
+++ b/mothshed/common/disk.py
@@ -110,10 +110,12 @@
             self.files.sync_names()
 
     def write_all(self, handle, data):
+        """Writes all of the data; the system may take it in several parts."""
         while data:
             data = data[self.files.write(handle, data) :]
 
     def check_usable(self, name):
+        """Raises DiskFault if an earlier write or sync of the file failed."""
         if name in self.failed:
             raise DiskFault(f"{name}: an earlier write or sync failed")
 
--- a/mothshed/common/disk_log.py
+++ b/mothshed/common/disk_log.py
@@ -14,19 +14,16 @@
 import mothshed.common.constants as constants
 import mothshed.common.disk as disk_module
 import mothshed.common.log_format as log_format
+import mothshed.common.log_state as log_state
 
 
-class PartLog:
-    """The log of one part. An entry is {"i": index, "t": term, "c": command}."""
+class PartLog(log_state.LogState):
+    """The log of one part, every change of which is durable once the call has returned."""
 
     def __init__(self, disk, part):
+        super().__init__()
         self.disk = disk
         self.stem = f"part-{part}"
-        self.term, self.vote = 0, ""
-        self.base, self.base_term = 0, 0  # index and term that the first entry follows
-        self.entries = []  # entries base+1 ...
-        self.sizes = []  # bytes of each entry as encoded
-        self.snap = None  # {"index","term","members","state"}
         self.generation, self.segment = 0, 0  # segment 0: none begun in this generation
         self.segment_size = 0
         self.bytes_since_snapshot = 0  # bytes of all segments of this generation
@@ -54,6 +51,7 @@
         self.remove_others(names)
 
     def read_snapshot(self):
+        """Reads the snapshot file of the newest generation, which must be one whole frame."""
         name = self.snapshot_name(self.generation)
         data = self.disk.read(name)
         scan = log_format.scan(data)
@@ -67,6 +65,7 @@
         self.replay(lines[2:])
 
     def read_segment(self, number, is_last):
+        """Reads one segment; a torn frame is passed over at the end of the last one only."""
         name = self.segment_name(number)
         data = self.disk.read(name)
         scan = log_format.scan(data)
@@ -86,62 +85,12 @@
             # a failed fsync the old file's content may be in memory only.
             self.disk.put(name, data[: scan.size])
 
-    def replay(self, lines):
-        for line in lines:
-            row = json.loads(line)
-            if "vote" in row:
-                self.term, self.vote = row["term"], row["vote"]
-            elif self.base < row["i"] <= self.last + 1:
-                self.take_entry(row, len(line))
-            else:
-                raise disk_module.DiskDamaged(f"{self.stem}: entry {row['i']} cannot follow {self.last}")
-
-    def take_entry(self, entry, size):
-        """Adds an entry, dropping those at its index and after it."""
-        at = entry["i"] - self.base - 1
-        del self.entries[at:]
-        del self.sizes[at:]
-        self.entries.append(entry)
-        self.sizes.append(size)
-
     def remove_others(self, names):
         """Removes this part's files of earlier generations; a loss of power may bring any of them back."""
         live = {self.snapshot_name(self.generation)}
         live.update(self.segment_name(number) for number in range(1, self.segment + 1))
         self.disk.remove([name for name in names if name.startswith(f"{self.stem}-") and name not in live])
 
-    # --- what the log holds --------------------------------------------------
-    @property
-    def virgin(self):
-        return not (self.term or self.vote or self.entries or self.snap)
-
-    @property
-    def last(self):
-        return self.base + len(self.entries)
-
-    @property
-    def last_term(self):
-        return self.entries[-1]["t"] if self.entries else self.base_term
-
-    def term_at(self, index):
-        """The term of the entry at this index, or None if the log does not know it."""
-        if index == self.base:
-            return self.base_term
-        if self.base < index <= self.last:
-            return self.entries[index - self.base - 1]["t"]
-        return None
-
-    def get(self, index):
-        return self.entries[index - self.base - 1]
-
-    def entry_bytes(self, index):
-        """Bytes of one entry as encoded, for bounding what is sent or kept."""
-        return self.sizes[index - self.base - 1]
-
-    def size_of(self, first):
-        """Bytes of all entries from this index on, as encoded."""
-        return sum(self.sizes[max(0, first - self.base - 1) :])
-
     # --- writing -------------------------------------------------------------
     def put_term(self, term, vote):
         """Records the current term and the vote given in it."""
@@ -159,7 +108,7 @@
             raise ValueError(f"{self.stem}: entries from {first} on cannot follow {self.last}")
         rows = [log_format.encode(entry) for entry in entries]
         self.write(rows)
-        for entry, row in zip(entries, rows):
+        for entry, row in zip(entries, rows, strict=True):
             self.take_entry(entry, len(row))
 
     def write(self, rows):
@@ -175,6 +124,7 @@
             self.count_written(len(data))
 
     def begin_segment(self, rows):
+        """Makes the next segment, whole with its header and first rows."""
         header = log_format.encode_header(self.segment_header(self.segment + 1))
         data = log_format.frame([header, *rows])
         self.disk.close(self.segment_name(self.segment))
@@ -183,6 +133,7 @@
         self.count_written(len(data))
 
     def count_written(self, size):
+        """Counts bytes that are now durable in the current segment."""
         self.segment_size += size
         self.bytes_since_snapshot += size
 
@@ -213,15 +164,6 @@
             self.entries, self.sizes = kept, sizes
             self.remove_others(self.disk.names())
 
-    def bounded_base(self, index, keep):
-        """The lowest base, at least `keep`, above which few enough bytes of entries up to index stand."""
-        size = 0
-        for at in range(index, keep, -1):
-            size += self.entry_bytes(at)
-            if size > constants.KEEP_BEHIND_BYTES:
-                return at
-        return min(keep, index)
-
     @contextlib.contextmanager
     def refusing_after_fault(self):
         """After a fault nobody knows what the files hold, so nothing may be written behind it."""
@@ -235,10 +177,13 @@
 
     # --- names ---------------------------------------------------------------
     def segment_header(self, number):
+        """The header of a segment that continues the present state."""
         return log_format.SegmentHeader(self.generation, number, self.term, self.vote, self.last, self.last_term)
 
     def snapshot_name(self, generation):
+        """The file name of a generation's snapshot."""
         return log_format.snapshot_name(self.stem, generation)
 
     def segment_name(self, number):
+        """The file name of a segment of this generation."""
         return log_format.segment_name(self.stem, self.generation, number)
--- a/mothshed/common/folder.py
+++ b/mothshed/common/folder.py
@@ -44,6 +44,7 @@
         os.fsync(handle)
 
     def close(self, handle):
+        """Gives the handle back; says nothing of what is durable."""
         os.close(handle)
 
     def rename(self, name, new_name):
--- a/mothshed/common/log_format.py
+++ b/mothshed/common/log_format.py
@@ -61,6 +61,7 @@
 
 
 def encode_header(header):
+    """A header as the bytes of one row."""
     return encode(dataclasses.asdict(header))
 
 
@@ -109,10 +110,12 @@
 
 
 def snapshot_name(stem, generation):
+    """The file name of a generation's snapshot."""
     return f"{stem}-snap-{generation:08d}"
 
 
 def segment_name(stem, generation, segment):
+    """The file name of a segment."""
     return f"{stem}-seg-{generation:08d}-{segment:08d}"
 
 
--- a/mothshed/common/remembered.py
+++ b/mothshed/common/remembered.py
@@ -17,6 +17,8 @@
 
 
 class Remembered:
+    """The remembered addresses and when each was last heard of."""
+
     def __init__(self, desk, disk):
         self.desk, self.disk = desk, disk
         self.turn, self.writing, self.written_at = 0, False, desk.now()
@@ -24,6 +26,7 @@
         self.at = dict.fromkeys(self.kept, desk.now() - constants.CALL_SILENT)  # address -> last heard
 
     def read(self):
+        """The addresses last written; none if they cannot be read."""
         try:
             rows = json.loads(self.disk.read(FILE) or b"[]")
             return sorted({str(a) for a in rows if ":" in str(a)})[: constants.REMEMBER_MOST]
@@ -32,6 +35,7 @@
             return []
 
     def heard(self, address):
+        """Notes that a message from this address came now."""
         if address != self.desk.address:
             self.at[address] = self.desk.now()
 
@@ -49,6 +53,7 @@
         return [silent[(self.turn + n) % len(silent)] for n in range(min(constants.CALL_MOST, len(silent)))]
 
     def write(self, rows):
+        """Writes the addresses; a disk that fails is noted, and a later beat tries again."""
         try:
             self.disk.put(FILE, json.dumps(rows).encode())
         except disk_module.DiskFault as e:
--- a/tests/test_disk_crashes.py
+++ b/tests/test_disk_crashes.py
@@ -1,6 +1,7 @@
 """A loss of power, a kill or a refused call at every step of every write: before or after, never between."""
 
 import errno
+import functools
 import itertools
 
 import pytest
@@ -27,7 +28,7 @@
         for folder in log_crashes.after_power_loss(stop.folder):
             files = folder.durable_state()
             found = log_crashes.state(log_crashes.open_log(folder))
-            start = lambda files=files: log_crashes.with_content(files)
+            start = functools.partial(log_crashes.with_content, files)
             for again in log_crashes.stops([], start=start, states=[found, found]):
                 log_crashes.check_stop(again)
 
--- a/tools/keep_on_bad_disk.py
+++ b/tools/keep_on_bad_disk.py
@@ -20,33 +20,40 @@
     """A folder whose writes and syncs fail as the faults file says."""
 
     def fault(self, name, usual):
+        """One row of the faults file."""
         try:
             return json.loads(pathlib.Path(f"{self.path}.faults").read_text()).get(name, usual)
         except (OSError, ValueError):
             return usual
 
     def check_room(self):
+        """Raises OSError while the disk is to be full."""
         if self.fault("full", False):
             raise OSError(errno.ENOSPC, "no space left on device")
 
     def before_sync(self):
+        """Waits and fails as each sync is to do."""
         time.sleep(self.fault("delay", 0.0))
         if self.fault("sync_fails", False):
             raise OSError(errno.EIO, "sync fails")
 
     def create(self, name):
+        """As in Folder, unless full."""
         self.check_room()
         return super().create(name)
 
     def write(self, handle, data):
+        """As in Folder, unless full."""
         self.check_room()
         return super().write(handle, data)
 
     def fsync(self, handle):
+        """As in Folder, slowed or failing."""
         self.before_sync()
         super().fsync(handle)
 
     def sync_names(self):
+        """As in Folder, slowed or failing."""
         self.before_sync()
         super().sync_names()
 
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -91,6 +91,7 @@
         self.before_step = self.bring_faults
 
     def bring_faults(self, step, name):
+        """Fails or waits in the calls that the switched-on faults concern."""
         if self.full and step in ("create", "write"):
             raise OSError(errno.ENOSPC, "no space left on device")
         if step in ("fsync", "sync_names"):
@@ -120,6 +121,7 @@
         self.forget_process()
 
     def wipe(self):
+        """Every file is gone, as on a new disk."""
         self.files.restore({})
         self.forget_process()
 
--- a/tools/simulator/volatile_folder.py
+++ b/tools/simulator/volatile_folder.py
@@ -69,7 +69,7 @@
     found = set()
     for parts in itertools.product(*choices):
         content = file.durable
-        for write, part in zip(file.pending, parts):
+        for write, part in zip(file.pending, parts, strict=True):
             if part is not None:
                 content = place(content, write.at, part)
         found.add(content)
@@ -77,6 +77,8 @@
 
 
 class VolatileFolder:
+    """The files of one folder, what of them is durable, and which changes are not yet."""
+
     def __init__(self, path=""):
         self.path = path
         self.current, self.lasting = {}, {}  # name -> File: as programs see it / after a loss of power
@@ -85,23 +87,28 @@
         self.before_step = lambda step, name: None  # called before each call that changes anything
 
     def names(self):
+        """The names of all files, sorted."""
         return sorted(self.current)
 
     def read(self, name):
+        """The content of a file; empty bytes if there is none."""
         return self.current[name].content if name in self.current else b""
 
     def create(self, name):
+        """A new, empty file of this name."""
         self.before_step("create", name)
         file = self.current[name] = File()
         self.changes.append(NameChange("create", name, file))
         return file
 
     def open(self, name):
+        """A handle that appends to a file, which must exist."""
         if name not in self.current:
             raise FileNotFoundError(errno.ENOENT, name)
         return self.current[name]
 
     def write(self, file, data):
+        """Appends what there is room for, and says how many bytes."""
         self.before_step("write", self.name_of(file))
         if self.room is not None:
             data = data[: self.room]
@@ -113,6 +120,7 @@
         return len(data)
 
     def fsync(self, file):
+        """Makes a file's content and the making of its name durable."""
         try:
             self.before_step("fsync", self.name_of(file))
         except OSError:
@@ -131,24 +139,29 @@
         self.changes = [c for c in self.changes if not (c.file is file and c.kind == "create")]
 
     def close(self, file):
+        """Does nothing: a handle is the file."""
         pass
 
     def rename(self, name, new_name):
+        """Puts a file in the place of any that had the new name."""
         self.before_step("rename", new_name)
         file = self.current[new_name] = self.current.pop(name)
         self.changes.append(NameChange("rename", name, file, new_name))
 
     def remove(self, name):
+        """Removes a file, if there is one."""
         self.before_step("remove", name)
         if name in self.current:
             self.changes.append(NameChange("remove", name, self.current.pop(name)))
 
     def sync_names(self):
+        """Makes all changes of names durable."""
         self.before_step("sync_names", "")
         self.lasting = self.names_with(self.changes)
         self.changes = []
 
     def name_of(self, file):
+        """The present name of a file, for those who watch the calls."""
         return next((name for name, other in self.current.items() if other is file), "")
 
     def names_with(self, kept):
@@ -166,7 +179,7 @@
         for kept in itertools.product([False, True], repeat=len(self.changes)):
             names = self.names_with(itertools.compress(self.changes, kept))
             for contents in itertools.product(*(versions(file) for file in names.values())):
-                yield dict(zip(names, contents))
+                yield dict(zip(names, contents, strict=True))
 
     def lose_power(self, random):
         """Takes one of the states that a loss of power may leave; `random` chooses it."""
@@ -178,6 +191,7 @@
         self.restore(state)
 
     def some_version(self, file, random):
+        """One content that a loss of power may leave of a file."""
         content = file.durable
         for write in file.pending:
             head = write.data[: random.randrange(len(write.data) + 1)]
