--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -153,7 +153,7 @@
         self.leaving = True
         self.keep_leaving()
 
-    def keep_leaving(self):
+    def keep_leaving(self) -> None:
         """The next step of leaving; again on every heartbeat until `released`."""
         if self.owns:
             self.hand_over()
--- a/tools/soak_exchanges.py
+++ b/tools/soak_exchanges.py
@@ -55,6 +55,7 @@
         self.host, self.port = address.rsplit(":", 1)
 
     def run(self):
+        """Send requests, one after another, until the time is up."""
         chance, count = random.Random(self.number), 0
         while time.monotonic() < self.until:
             count += 1
@@ -63,6 +64,7 @@
             self.outcomes.append(self.ask(own, service, body))
 
     def ask(self, own, service, body):
+        """Send one request on the kept connection."""
         headers = {"Host": f"{service}.example", "Try-Id": own, "Time-Left": "1500"}
         try:
             if self.conn is None:
@@ -87,6 +89,7 @@
         self.random, self.done = random.Random(seed), collections.Counter()
 
     def run(self):
+        """Bring faults at random until shortly before the end."""
         kinds = [self.spoil] * 8 + [self.reset] * 4 + [self.freeze, self.reuse]
         while time.monotonic() < self.until - 1.0:
             kind = self.random.choice(kinds)
@@ -95,9 +98,11 @@
             time.sleep(self.random.uniform(0.01, 0.15))
 
     def spoil(self, replica):
+        """Have the replica spoil one of its next answers."""
         replica.faults.append(self.random.choice(FAULTS))
 
     def reset(self, replica):
+        """Reset the connections that the replica holds."""
         for conn in list(replica.conns):
             try:
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -106,6 +111,7 @@
                 pass
 
     def freeze(self, replica):
+        """Stop the router for a moment and let it go on."""
         self.router.send_signal(signal.SIGSTOP)
         time.sleep(self.random.uniform(0.1, 1.5))
         self.router.send_signal(signal.SIGCONT)
@@ -117,7 +123,7 @@
 
 
 def judge(runs, outcomes):
-    """rule -> what broke it."""
+    """Map each rule to what broke it."""
     count = collections.Counter(run["id"] for run in runs)
     broken = {
         "ran twice": [name for name, n in count.items() if n > 1 and name != "first"],
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -37,17 +37,20 @@
         self.lives[self.name] = depot
 
     def begin_life(self, name, depot):
+        """Serve under another name from now on; the list shows it late."""
         self.shown = (time.monotonic() + LIST_LAG, self.name, self.depot)
         self.lives[name] = depot
         self.depot, self.name = depot, name
 
     def row(self):
+        """Give the list's entry, as old as the list lags."""
         until, name, depot = self.shown
         if time.monotonic() >= until:
             name, depot = self.name, self.lives[self.name]
         return {**super().row(), "replica_id": name, "depot": depot}
 
     def run(self, conn, request, fault, more):
+        """Run one request and answer it, as the fault says."""
         whole = answer_to(request.get("Try-Id"), request.body)
         stamp = f"stamp.{next(stand_in.COUNT)}"
         service = self.lives[request.get("Expect-Replica", self.name)]
@@ -87,6 +90,7 @@
         self.router = self.start(folder, "route", {**common, **router, "station": "route-1"})
 
     def start(self, folder, program, settings):
+        """Start one program on its settings file."""
         path = folder / f"{program}.json"
         path.write_text(json.dumps(settings))
         environ = {**os.environ, "MOTHSHED_SETTINGS": str(path)}
@@ -107,6 +111,7 @@
         platform_site.until(lambda: self.answers(self.door, "POST", "/p/first", b"", own) == 200, 20.0)
 
     def answers(self, address, method, target, body, headers):
+        """Give the status of one call, 0 after a failure."""
         try:
             return platform_site.ask(address, method, target, body, headers).status
         except (OSError, http.client.HTTPException):
@@ -114,6 +119,7 @@
             return 0
 
     def stop(self):
+        """End the processes that were started here."""
         for proc in self.procs:
             proc.send_signal(signal.SIGCONT)
             proc.kill()
