Orders to replicas are checked once their connection stands; the turn gap comes from tenure_ms

Cause, read in the code: an order's last check came before its connection was made, so up to half a second (a slow connect) or any freeze lay between check and write; and TURN_GAP was fixed at 3.2 s whatever tenure_ms the deployment names.

Now order_role takes the last check and makes it when the connection stands, on the platform and in our own protocol (which opens a connection for each order, as other sends do). The gap is tenure + TURN_MARGIN where the settings tell tenure_ms. fence_checked is not read: nothing leans on replicas that check, so it holds under both. thaw_ms is not read either: a process frozen between the last check and the write sends at its thaw, which is what thaw_ms allows.

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -56,6 +56,7 @@
 
 # --- orders to replicas --------------------------------------------------
 TURN_GAP = 3.2  # s; a new holder waits this long before its first order (brief: 3).
+TURN_MARGIN = 0.2  # s; added to a deployment's own bound on turns: what an order takes from its check to its replica.
 ORDER_BEAT = 0.5  # s; the holder looks at split and drains this often.
 SHIFT_HOLD = 6.0  # s; least time between two shifts of one pool: hysteresis.
 SHIFT_UP = 1.6  # ratio of pressures between the sides beyond which a replica moves.
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -1,10 +1,11 @@
 """Orders to replicas: roles, by the part's holder only.
 
 The duty runs on the owner of a service part. It takes the seat (one log entry,
-standing one higher), keeps silent for TURN_GAP, and then on every beat compares
+standing one higher), keeps silent for the turn gap, and then on every beat compares
 what replicas report with what the part has agreed, plans the split, commits
 changed roles and sends what is missing, each send under a sure majority, checked
-right before it.
+once its connection stands, right before it is written. None of it leans on replicas
+that check fences: docs/hardening-configuration.md has the argument.
 """
 
 import collections
@@ -32,6 +33,7 @@
         self.replicas, self.lease, self.journal = replicas, lease, journal
         self.split = {}  # pool name -> Split
         self.on = False
+        self.tenure = None  # s; how far apart the deployment wants the turns of two holders, if it says so
         self.standing, self.from_then = 0, 0.0
         self.busy = set()  # replicas with an order under way
         self.told = set()  # (replica, engine) that took an order under this standing
@@ -44,8 +46,12 @@
     def taken(self, result):
         if result and self.on:
             self.standing, self.told = result["standing"], set()
-            self.from_then = self.desk.now() + constants.TURN_GAP
-            self.desk.beat(constants.TURN_GAP, self.tick)
+            self.from_then = self.desk.now() + self.turn_gap()
+            self.desk.beat(self.turn_gap(), self.tick)
+
+    def turn_gap(self):
+        """How long a new holder keeps silent; the one before may have ordered until its seat was taken."""
+        return constants.TURN_GAP if self.tenure is None else self.tenure + constants.TURN_MARGIN
 
     def stop(self):
         self.on, self.standing = False, 0
@@ -126,9 +132,10 @@
         if self.shared_usage:  # routers hear of it before the replica does
             self.shared_usage.shifting[name] = self.desk.now() + constants.CHANGE_OUT
             self.desk.pause(constants.ORDER_NOTICE)
+        ready = lambda: bool(self.may(standing) and self.lease.sequence() == sequence)
         try:
-            if self.may(standing) and self.lease.sequence() == sequence:
-                good = self.order_role(self.desk, url, role, standing, self.member.who, sequence)
+            if ready():
+                good = self.order_role(self.desk, url, role, standing, self.member.who, sequence, ready)
         except web.WebFault:
             pass
         finally:
