--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,99 @@
+"""A leader whose majority, disk and commits are set by hand, and operators' calls on its fronts."""
+
+import types
+
+import mothshed.common.configuration as configuration
+import mothshed.control_plane.config_part as config_part
+import mothshed.control_plane.keeper_front as keeper_front
+import tests.fronts as fronts
+import tests.platform_site as platform_site
+
+
+class Gate:
+    """A gate whose wait carries out what its mailbox holds, then says whether it was set."""
+
+    def __init__(self, member):
+        self.member, self.open, self.waited = member, False, []
+
+    def set(self):
+        self.open = True
+
+    def wait(self, timeout):
+        self.waited.append(timeout)
+        self.member.work()
+        return self.open
+
+
+class Member:
+    """A leader whose majority, disk and commits are set by hand."""
+
+    def __init__(self):
+        self.machine = config_part.ConfigMachine()
+        self.who, self.owner, self.heard, self.time = "A/1", "A/1", 0.0, 100.0
+        self.members = {w: {"address": f"{w}:1", "http": f"{w[0]}:80"} for w in ("A/1", "B/1", "C/1")}
+        self.desk = types.SimpleNamespace(now=lambda: self.time, post=self.post)
+        self.owns, self.confirmed, self.mailbox_stuck, self.commits = True, True, False, "at once"
+        self.box, self.proposed, self.waiting, self.gates = [], [], [], []
+
+    def sure(self):
+        return self.owns and self.confirmed
+
+    def post(self, call):
+        self.box.append(call)
+
+    def work(self):
+        while self.box and not self.mailbox_stuck:
+            self.box.pop(0)()
+
+    def confirm(self, call):
+        if self.confirmed:
+            call(True)
+        else:
+            self.waiting.append(lambda: call(False))
+
+    def propose(self, command, call):
+        self.proposed.append(command)
+        if self.commits == "at once":
+            call(self.machine.apply(0, command))
+        elif self.commits == "lost":
+            call(None)
+        else:
+            self.waiting.append(lambda: call(self.machine.apply(0, command)))
+
+    def gate(self):
+        self.gates.append(Gate(self))
+        return self.gates[-1]
+
+
+def keeper(member):
+    return types.SimpleNamespace(
+        members=[member], duties=[], desk=types.SimpleNamespace(gate=member.gate), in_part=None, ask_part=None
+    )
+
+
+def document(edition, note=""):
+    return {
+        "edition": edition,
+        "itineraries": [platform_site.route("r-one", "one.example", "one")],
+        "depots": [platform_site.depot("one")],
+        "note": note,
+    }
+
+
+def platform_front(member):
+    return platform_site.operator_front.OperatorFront(keeper(member))
+
+
+def put(member, base, edition, note=""):
+    """(status, headers) of an operator's order on the platform's front."""
+    headers = {"If-Match": str(base)}
+    return fronts.call(platform_front(member), "PUT", "/configuration", document(edition, note), headers)[:2]
+
+
+def own_put(member, base, order_id):
+    body = {"base": base, "document": configuration.EXAMPLE, "id": order_id}
+    return fronts.call(keeper_front.KeeperFront(keeper(member)), "PUT", "/configuration", body)[:2]
+
+
+def get(member):
+    return fronts.call(platform_front(member), "GET", "/configuration")[:2]
