An order sent again while its entry is under way waits for that entry

Taken out in a scratch copy and seen to fail tests/test_operator_calls.py: one entry for an order under way, forgetting it at the end.

--- a/mothshed/control_plane/confirmed_calls.py
+++ b/mothshed/control_plane/confirmed_calls.py
@@ -52,6 +52,7 @@
 
     def __init__(self, mailbox: typing.Any, member: typing.Any) -> None:
         self.mailbox, self.member = mailbox, member
+        self.proposed: dict[str, list[PendingCall]] = {}  # order id -> the calls that wait for its commit
 
     def read(self, give: collections.abc.Callable[[], typing.Any]) -> typing.Any:
         """What give() returns once a majority has confirmed this leader; raises NotConfirmed."""
@@ -74,8 +75,16 @@
         known = machine.known_result(command) if command["base"] <= machine.latest else None
         if known:  # it would change nothing: no entry is needed, only a majority's word that this is the newest
             self.member.confirm(lambda good: call.end(known if good else NotConfirmed()))
+        elif command["id"] in self.proposed:  # sent again while the first is under way: one entry is enough
+            self.proposed[command["id"]].append(call)
         else:
-            self.member.propose(command, lambda result: call.end(Unclear() if result is None else result))
+            self.proposed[command["id"]] = [call]
+            self.member.propose(command, lambda result: self.end_write(command["id"], result))
+
+    def end_write(self, order_id: str, result: typing.Any) -> None:
+        """Hand the end of an entry to all calls that wait for it."""
+        for call in self.proposed.pop(order_id):
+            call.end(Unclear() if result is None else result)
 
     def run(self, begin: collections.abc.Callable[[PendingCall], None]) -> typing.Any:
         """Begin a call within the mailbox while a majority is in touch, and wait for its end."""
--- a/tests/test_operator_calls.py
+++ b/tests/test_operator_calls.py
@@ -60,6 +60,25 @@
         assert operators.put(member, 0, 5)[0] == 200
 
 
+@pytest.mark.parametrize("end", ["commit", "lost"])
+def test_an_order_sent_again_while_it_is_under_way_is_one_entry(end):
+    member = operators.Member()
+    member.commits = "late"
+    front = operators.platform_front(member)
+    sent = operators.document(5)
+    for _ in range(4):
+        assert fronts.call(front, "PUT", "/configuration", sent, {"If-Match": "0"})[0] == 504
+    assert len(member.proposed) == 1 and len(front.calls.proposed) == 1
+    if end == "lost":
+        front.calls.end_write(member.proposed[0]["id"], None)
+    else:
+        member.waiting[0]()
+    assert front.calls.proposed == {}
+    member.commits = "at once"
+    assert fronts.call(front, "PUT", "/configuration", sent, {"If-Match": "0"})[0] == 200
+    assert len(member.proposed) == (2 if end == "lost" else 1) and member.machine.latest == 5
+
+
 def test_majority_lost_between_the_check_and_the_mailbox_writes_nothing():
     member = operators.Member()
     member.desk.post = lambda call: (setattr(member, "confirmed", False), member.post(call))
