--- /dev/null
+++ b/mothshed/control_plane/following.py
@@ -0,0 +1,79 @@
+"""The followers' side of one replicated log: entries and snapshots that a leader sends.
+
+What is answered as held has been synced. Entries that differ from the leader's give way to
+them; committed ones never differ. A snapshot is taken whole, once all its pieces have come.
+"""
+
+import mothshed.control_plane.snapshot_transfer as snapshot_transfer
+
+
+class Following:
+    """How a member obeys a leader."""
+
+    def start_following(self):
+        """Makes ready to collect a snapshot."""
+        self.collector = snapshot_transfer.Collector()
+
+    def on_append(self, sender, body):
+        """A leader's entries, or none, with its commit index; answered with what is held."""
+        if body["term"] < self.log.term:
+            self.desk.tell(
+                sender,
+                "append_say",
+                part=self.part,
+                who=self.who,
+                term=self.log.term,
+                good=False,
+                match=0,
+                round=0,
+            )
+            return
+        self.follow(body, sender)
+        good, match = self.take_entries(body["prev"], body["prev_term"], body["entries"])
+        if good and min(body["commit"], match) > self.commit:
+            self.commit = min(body["commit"], match)
+            self.apply_all()
+        self.tell(body["who"], "append_say", term=self.log.term, good=good, match=match, round=body["round"])
+
+    def take_entries(self, previous, previous_term, entries):
+        """Writes what is new; (whether the log fits, up to where it is the leader's)."""
+        if previous < self.log.base:  # what the snapshot holds is committed, so it is the leader's
+            entries = [e for e in entries if e["i"] > self.log.base]
+            if not entries:
+                return True, self.log.base
+            previous = self.log.base
+        elif self.log.term_at(previous) is None:
+            return False, self.log.last
+        elif self.log.term_at(previous) != previous_term:
+            return False, self.commit
+        new = [e for e in entries if self.log.term_at(e["i"]) != e["t"]]
+        if new:
+            self.log.put([e for e in entries if e["i"] >= new[0]["i"]])
+            self.read_members()
+        return True, previous + len(entries)
+
+    def on_snap(self, sender, body):
+        """A piece of a leader's snapshot; answered with how much of it is here."""
+        if body["term"] < self.log.term:
+            return
+        self.follow(body, sender)
+        if body["index"] > self.commit:
+            snap = self.collector.take(body)
+            if snap is not None:
+                self.install(snap)
+        done = body["index"] <= self.commit
+        self.tell(
+            body["who"],
+            "snap_say",
+            term=self.log.term,
+            index=body["index"],
+            offset=self.collector.length,
+            done=done,
+        )
+
+    def install(self, snap):
+        """Takes a whole snapshot in the place of the log up to its index."""
+        self.log.put_snap(snap, snap["index"])
+        self.machine.restore(snap["state"])
+        self.commit = self.applied = snap["index"]
+        self.read_members()
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -1,8 +1,8 @@
 """One member of one part's group: the log it keeps, its state, what it applies.
 
 A Member runs on a desk, one callback at a time. The chart `member.json` says
-which states may follow which. Election, replication and reconfiguration are three files
-mixed in here; this one holds what they share: the effective membership, applying
+which states may follow which. Election, replication, following and reconfiguration are
+files of their own, mixed in here; this one holds what they share: the effective membership, applying
 committed entries to the part's machine, snapshots, and the owner's confirmed
 reads. A disk that fails to sync stops the member: it no longer knows what it has.
 """
@@ -13,12 +13,13 @@
 import mothshed.common.disk_log as disk_log
 import mothshed.common.ring as ring
 import mothshed.control_plane.election as election
+import mothshed.control_plane.following as following
 import mothshed.control_plane.membership as membership
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.replication as replication
 
 
-class Member(election.Election, replication.Replication, reconfiguration.Reconfiguration):
+class Member(election.Election, replication.Replication, following.Following, reconfiguration.Reconfiguration):
     def __init__(self, desk, disk, part, who, http, first, machine, known=lambda: [], bounds=None):
         self.desk, self.part, self.who, self.http = desk, part, who, http
         self.address = desk.address
@@ -41,6 +42,7 @@
             self.commit = self.applied = self.log.snap["index"]
         self.start_election()
         self.start_replication()
+        self.start_following()
         self.start_reconfiguration()
         self.read_members()
         if self.members:
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -1,4 +1,4 @@
-"""The leader's side and the followers' side of one replicated log.
+"""The leader's side of one replicated log; the followers' is in following.py.
 
 Every append carries a round number that members echo; a read or a lease answer
 waits until a majority has echoed a round sent after it was asked, which proves
@@ -15,6 +15,8 @@
 
 
 class Replication:
+    """What a leader sends, what it counts as held, and for how long it is sure to lead."""
+
     def start_replication(self):
         self.round, self.sent_at = 0, {}
         self.progress = {}  # member or learner id -> Progress
@@ -25,7 +27,6 @@
         self.ready = False
         self.won_at = self.desk.now()
         self.encoded = None  # the newest snapshot as text, while somebody needs it
-        self.collector = snapshot_transfer.Collector()
 
     def targets(self):
         return self.others() + [m for m in self.learners if m not in self.members]
@@ -98,68 +99,6 @@
         if progress.transfer.due(now):
             self.tell(member, "snap", term=self.log.term, **progress.transfer.piece(now))
 
-    def on_append(self, sender, body):
-        if body["term"] < self.log.term:
-            self.desk.tell(
-                sender,
-                "append_say",
-                part=self.part,
-                who=self.who,
-                term=self.log.term,
-                good=False,
-                match=0,
-                round=0,
-            )
-            return
-        self.follow(body, sender)
-        good, match = self.take_entries(body["prev"], body["prev_term"], body["entries"])
-        if good and min(body["commit"], match) > self.commit:
-            self.commit = min(body["commit"], match)
-            self.apply_all()
-        self.tell(body["who"], "append_say", term=self.log.term, good=good, match=match, round=body["round"])
-
-    def take_entries(self, previous, previous_term, entries):
-        """Writes what is new; (whether the log fits, up to where it is the leader's)."""
-        if previous < self.log.base:  # what the snapshot holds is committed, so it is the leader's
-            entries = [e for e in entries if e["i"] > self.log.base]
-            if not entries:
-                return True, self.log.base
-            previous = self.log.base
-        elif self.log.term_at(previous) is None:
-            return False, self.log.last
-        elif self.log.term_at(previous) != previous_term:
-            return False, self.commit
-        new = [e for e in entries if self.log.term_at(e["i"]) != e["t"]]
-        if new:
-            self.log.put([e for e in entries if e["i"] >= new[0]["i"]])
-            self.read_members()
-        return True, previous + len(entries)
-
-    def on_snap(self, sender, body):
-        if body["term"] < self.log.term:
-            return
-        self.follow(body, sender)
-        if body["index"] > self.commit:
-            snap = self.collector.take(body)
-            if snap is not None:
-                self.install(snap)
-        done = body["index"] <= self.commit
-        self.tell(
-            body["who"],
-            "snap_say",
-            term=self.log.term,
-            index=body["index"],
-            offset=self.collector.length,
-            done=done,
-        )
-
-    def install(self, snap):
-        """Takes a whole snapshot in the place of the log up to its index."""
-        self.log.put_snap(snap, snap["index"])
-        self.machine.restore(snap["state"])
-        self.commit = self.applied = snap["index"]
-        self.read_members()
-
     def on_snap_say(self, sender, body):
         progress = self.progress.get(body["who"])
         if not self.owns or body["term"] != self.log.term or progress is None:
--- a/tools/proof_table.py
+++ b/tools/proof_table.py
@@ -48,6 +48,15 @@
         for end in ("kill_owner", "kill_keepers", "freeze", "cut", "full_disk", "failing_sync", "stall", "wipe", "race")
     ],
     "anything at once": ["anything"],
+    "leader cut for twenty seconds": ["leader_cut_for_twenty_seconds"],
+    "a loss right after a repair": [
+        "losses_follow_repairs",
+        "wipes_in_a_row",
+        "planned_replacements",
+        "power_lost_right_after_a_repair",
+    ],
+    "hundreds of changes": ["away_for_hundreds_of_changes"],
+    "five and four keepers": ["five_keepers_lose_two", "five_keepers_cut_in_two", "four_keepers_stopped_in_turn"],
     "lists lag apart": ["router_cut_from_list", "lists_lag_apart", "freeze_over_leaving"],
     "control gone from its seeds": ["routers_restart_after_swap", "all_restart_after_swap", "kill_all_one_elsewhere"],
     "replicas refuse": ["replicas_bounce"],
