--- a/mothshed/common/log_state.py
+++ b/mothshed/common/log_state.py
@@ -1,37 +1,40 @@
 """What a replicated log holds in memory: term and vote, a snapshot, and the entries after its base."""
 
 import json
+import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.disk as disk_module
 
+Entry = dict[str, typing.Any]  # {"i": index, "t": term, "c": command}
+
 
 class LogState:
     """The content of one part's log. An entry is {"i": index, "t": term, "c": command}."""
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.term, self.vote = 0, ""
         self.base, self.base_term = 0, 0  # index and term that the first entry follows
-        self.entries = []  # entries base+1 ...
-        self.sizes = []  # bytes of each entry as encoded
-        self.snap = None  # {"index","term","members","state"}
+        self.entries: list[Entry] = []  # entries base+1 ...
+        self.sizes: list[int] = []  # bytes of each entry as encoded
+        self.snap: dict[str, typing.Any] | None = None  # {"index", "term", "membership", "state"}
 
     @property
-    def virgin(self):
+    def virgin(self) -> bool:
         """Whether nothing was ever written."""
         return not (self.term or self.vote or self.entries or self.snap)
 
     @property
-    def last(self):
+    def last(self) -> int:
         """Index of the last entry."""
         return self.base + len(self.entries)
 
     @property
-    def last_term(self):
+    def last_term(self) -> int:
         """Term of the last entry."""
         return self.entries[-1]["t"] if self.entries else self.base_term
 
-    def term_at(self, index):
+    def term_at(self, index: int) -> int | None:
         """The term of the entry at this index, or None if the log does not know it."""
         if index == self.base:
             return self.base_term
@@ -39,19 +42,19 @@
             return self.entries[index - self.base - 1]["t"]
         return None
 
-    def get(self, index):
+    def get(self, index: int) -> Entry:
         """The entry at this index, which must be above the base."""
         return self.entries[index - self.base - 1]
 
-    def entry_bytes(self, index):
+    def entry_bytes(self, index: int) -> int:
         """Bytes of one entry as encoded, for bounding what is sent or kept."""
         return self.sizes[index - self.base - 1]
 
-    def size_of(self, first):
+    def size_of(self, first: int) -> int:
         """Bytes of all entries from this index on, as encoded."""
         return sum(self.sizes[max(0, first - self.base - 1) :])
 
-    def replay(self, lines):
+    def replay(self, lines: list[str]) -> None:
         """Takes encoded rows as they were once written; DiskDamaged if an entry cannot follow."""
         for line in lines:
             row = json.loads(line)
@@ -62,7 +65,7 @@
             else:
                 raise disk_module.DiskDamaged(f"entry {row['i']} cannot follow {self.last}")
 
-    def take_entry(self, entry, size):
+    def take_entry(self, entry: Entry, size: int) -> None:
         """Adds an entry, dropping those at its index and after it."""
         at = entry["i"] - self.base - 1
         del self.entries[at:]
@@ -70,7 +73,7 @@
         self.entries.append(entry)
         self.sizes.append(size)
 
-    def bounded_base(self, index, keep):
+    def bounded_base(self, index: int, keep: int) -> int:
         """The lowest base, at least `keep`, above which few enough bytes of entries up to index stand."""
         size = 0
         for at in range(index, keep, -1):
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -15,6 +15,8 @@
 
 
 class Election:
+    """Candidacies, votes, terms and hand-over."""
+
     def start_election(self):
         self.votes = set()
         self.trial = False
--- a/mothshed/control_plane/following.py
+++ b/mothshed/control_plane/following.py
@@ -4,17 +4,19 @@
 them; committed ones never differ. A snapshot is taken whole, once all its pieces have come.
 """
 
+import typing
+
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
 
 class Following:
     """How a member obeys a leader."""
 
-    def start_following(self):
+    def start_following(self) -> None:
         """Makes ready to collect a snapshot."""
         self.collector = snapshot_transfer.Collector()
 
-    def on_append(self, sender, body):
+    def on_append(self, sender: str, body: dict[str, typing.Any]) -> None:
         """A leader's entries, or none, with its commit index; answered with what is held."""
         if body["term"] < self.log.term:
             self.desk.tell(
@@ -35,7 +37,7 @@
             self.apply_all()
         self.tell(body["who"], "append_say", term=self.log.term, good=good, match=match, round=body["round"])
 
-    def take_entries(self, previous, previous_term, entries):
+    def take_entries(self, previous: int, previous_term: int, entries: list[dict[str, typing.Any]]) -> tuple[bool, int]:
         """Writes what is new; (whether the log fits, up to where it is the leader's)."""
         if previous < self.log.base:  # what the snapshot holds is committed, so it is the leader's
             entries = [e for e in entries if e["i"] > self.log.base]
@@ -52,7 +54,7 @@
             self.read_members()
         return True, previous + len(entries)
 
-    def on_snap(self, sender, body):
+    def on_snap(self, sender: str, body: dict[str, typing.Any]) -> None:
         """A piece of a leader's snapshot; answered with how much of it is here."""
         if body["term"] < self.log.term:
             return
@@ -71,7 +73,7 @@
             done=done,
         )
 
-    def install(self, snap):
+    def install(self, snap: dict[str, typing.Any]) -> None:
         """Takes a whole snapshot in the place of the log up to its index."""
         self.log.put_snap(snap, snap["index"])
         self.machine.restore(snap["state"])
--- a/mothshed/control_plane/membership.py
+++ b/mothshed/control_plane/membership.py
@@ -6,10 +6,15 @@
 two majorities that act at different moments miss each other (Ongaro, section 4.3).
 """
 
+import collections.abc
 import dataclasses
+import typing
 
+Place = dict[str, str]  # {"address": ip:port of the system's own records, "http": ip:port}
+Voters = dict[str, Place]  # member id -> place
 
-def majority_of(count):
+
+def majority_of(count: int) -> int:
     """How many of this many voters are more than half.
 
     >>> [majority_of(n) for n in (1, 2, 3, 4, 5, 7)]
@@ -22,24 +27,24 @@
 class Membership:
     """The voters, id -> {"address", "http"}, and those whom a change under way replaces."""
 
-    voters: dict = dataclasses.field(default_factory=dict)
-    outgoing: dict = dataclasses.field(default_factory=dict)
+    voters: Voters = dataclasses.field(default_factory=dict)
+    outgoing: Voters = dataclasses.field(default_factory=dict)
 
     @property
-    def everyone(self):
+    def everyone(self) -> Voters:
         """Voters of both configurations."""
         return {**self.outgoing, **self.voters}
 
     @property
-    def joint(self):
+    def joint(self) -> bool:
         """Whether a change of the voters is under way."""
         return bool(self.outgoing)
 
-    def configurations(self):
+    def configurations(self) -> list[Voters]:
         """The voter sets of which each needs a majority."""
         return [group for group in (self.voters, self.outgoing) if group]
 
-    def has_quorum(self, ids):
+    def has_quorum(self, ids: collections.abc.Iterable[str]) -> bool:
         """Whether these ids are a majority of every voter set.
 
         >>> change = Membership(dict.fromkeys("ABY"), dict.fromkeys("ABX"))
@@ -48,10 +53,10 @@
         >>> Membership().has_quorum("A")
         False
         """
-        groups = self.configurations()
-        return bool(groups) and all(len(set(ids) & set(g)) >= majority_of(len(g)) for g in groups)
+        groups, present = self.configurations(), set(ids)
+        return bool(groups) and all(len(present & set(group)) >= majority_of(len(group)) for group in groups)
 
-    def agreed(self, values):
+    def agreed(self, values: dict[str, int]) -> int:
         """The highest value that a quorum has reached; values: id -> number, 0 where absent.
 
         >>> Membership(dict.fromkeys("ABC")).agreed({"A": 9, "B": 7, "C": 2})
@@ -65,25 +70,25 @@
             reached.append(ordered[majority_of(len(group)) - 1])
         return min(reached, default=0)
 
-    def change_to(self, voters):
+    def change_to(self, voters: Voters) -> "Membership":
         """The joint membership that leads to these voters."""
         return Membership(dict(voters), dict(self.voters))
 
-    def settled(self):
+    def settled(self) -> "Membership":
         """The membership once the change is over."""
         return Membership(dict(self.voters))
 
-    def command(self):
+    def command(self) -> dict[str, typing.Any]:
         """The log entry that puts this membership into effect."""
         return {"op": "members", "members": self.voters, "outgoing": self.outgoing}
 
 
-def from_command(command):
+def from_command(command: dict[str, typing.Any]) -> Membership:
     """The membership that a log entry or a snapshot holds."""
     return Membership(command["members"], command.get("outgoing", {}))
 
 
-def name_of(member):
+def name_of(member: str) -> str:
     """The machine's name in a member's id; the rest is the mark of one data folder."""
     return member.split("/")[0]
 
@@ -98,16 +103,16 @@
     """
 
     leader: str
-    voters: dict
-    learners: dict
-    silence: dict
-    leaving: frozenset
+    voters: Voters
+    learners: Voters
+    silence: dict[str, float]
+    leaving: frozenset[str]
     smallest: int
     present_within: float
     gone_after: float
 
 
-def next_voters(view):
+def next_voters(view: GroupView) -> Voters | None:
     """The voters to change to now, or None if the group is as it should be.
 
     >>> place = {"address": "a", "http": "h"}
@@ -130,40 +135,38 @@
     return None
 
 
-def without(voters, gone, newcomer=None, place=None):
-    """The voters less one, and with a newcomer in its place if there is one."""
-    rest = {member: at for member, at in voters.items() if member != gone}
-    if newcomer:
-        rest[newcomer] = place
-    return rest
+def without(voters: Voters, gone: str, newcomers: Voters) -> Voters:
+    """The voters less one, and with these newcomers."""
+    rest = {member: place for member, place in voters.items() if member != gone}
+    return {**rest, **newcomers}
 
 
-def replace_wiped(view):
+def replace_wiped(view: GroupView) -> Voters | None:
     """A machine that came back with an empty disk takes the place of what it was."""
     for learner, place in view.learners.items():
         for voter in view.voters:
             if voter not in (learner, view.leader) and name_of(voter) == name_of(learner):
-                return without(view.voters, voter, learner, place)
+                return without(view.voters, voter, {learner: place})
     return None
 
 
-def release_one(view):
+def release_one(view: GroupView) -> Voters | None:
     """A voter that leaves or has been silent for long is replaced, or let go if enough remain."""
-    silent = [v for v in view.voters if view.silence.get(v, 0.0) > view.gone_after]
+    silent = [voter for voter in view.voters if view.silence.get(voter, 0.0) > view.gone_after]
     silent.sort(key=lambda voter: -view.silence[voter])
-    leaving = [v for v in view.voters if v in view.leaving and v not in silent]
+    leaving = [voter for voter in view.voters if voter in view.leaving and voter not in silent]
     for voter in silent + leaving:
         if voter == view.leader:
             continue
-        newcomers = [n for n in view.learners if n not in view.voters]
+        newcomers = [learner for learner in view.learners if learner not in view.voters]
         if newcomers:
-            return without(view.voters, voter, newcomers[0], view.learners[newcomers[0]])
+            return without(view.voters, voter, {newcomers[0]: view.learners[newcomers[0]]})
         if len(view.voters) > view.smallest:
-            return without(view.voters, voter)
+            return without(view.voters, voter, {})
     return None
 
 
-def move_one(view):
+def move_one(view: GroupView) -> Voters | None:
     """A voter that came back with its disk at another address."""
     for learner, place in view.learners.items():
         if learner in view.voters and view.voters[learner] != place:
@@ -171,7 +174,7 @@
     return None
 
 
-def admit_one(view):
+def admit_one(view: GroupView) -> Voters | None:
     """A further machine, while every voter answers: a group with one missing grows by replacement only."""
     if any(view.silence.get(voter, 0.0) > view.present_within for voter in view.voters):
         return None
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -49,7 +49,7 @@
             self.from_then = self.desk.now() + self.turn_gap()
             self.desk.beat(self.turn_gap(), self.tick)
 
-    def turn_gap(self):
+    def turn_gap(self) -> float:
         """How long a new holder keeps silent; the one before may have ordered until its seat was taken."""
         return constants.TURN_GAP if self.tenure is None else self.tenure + constants.TURN_MARGIN
 
@@ -132,7 +132,10 @@
         if self.shared_usage:  # routers hear of it before the replica does
             self.shared_usage.shifting[name] = self.desk.now() + constants.CHANGE_OUT
             self.desk.pause(constants.ORDER_NOTICE)
-        ready = lambda: bool(self.may(standing) and self.lease.sequence() == sequence)
+
+        def ready() -> bool:
+            return bool(self.may(standing) and self.lease.sequence() == sequence)
+
         try:
             if ready():
                 good = self.order_role(self.desk, url, role, standing, self.member.who, sequence, ready)
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -16,24 +16,28 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """What a group must bear. losses: voters lost at once. catch_up: seconds that a loss counts on
-    after its machine is back or replaced."""
+    """What a group must bear.
+
+    losses: voters lost at once. catch_up: seconds that a loss counts on after its machine is back or replaced.
+    """
 
     losses: int = constants.LOSSES
     catch_up: float = constants.CATCH_UP
 
     @property
-    def smallest(self):
+    def smallest(self) -> int:
         """The fewest voters of which a majority is left after the losses."""
         return 2 * self.losses + 1
 
     @property
-    def gone_after(self):
+    def gone_after(self) -> float:
         """Seconds of silence after which a voter may be replaced."""
         return constants.GONE_SHARE * self.catch_up
 
 
 class Reconfiguration:
+    """How a member joins and leaves, and how a leader changes the voters."""
+
     def start_reconfiguration(self):
         self.empties = {}  # address -> (time, id, http) of first members that said empty
         self.learners = {}  # id -> {"address", "http", "at"}
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -103,7 +103,7 @@
         progress = self.progress.get(body["who"])
         if not self.owns or body["term"] != self.log.term or progress is None:
             return
-        progress.heard, progress.answered = self.desk.now(), True
+        progress.answered_at, progress.answered = self.desk.now(), True
         if progress.transfer is None or body["index"] != progress.transfer.encoded.index:
             return
         if body["done"]:
@@ -183,7 +183,7 @@
     def silence(self, member, now):
         """Seconds since a member's last answer to this leader, counted from its election at least."""
         progress = self.progress.get(member)
-        return now - (progress.heard if progress else self.won_at)
+        return now - (progress.answered_at if progress else self.won_at)
 
     def keep_owning(self, now):
         present = [m for m in self.others() if self.silence(m, now) < constants.OWNER_QUIET]
--- a/tests/test_operator_calls.py
+++ b/tests/test_operator_calls.py
@@ -7,7 +7,6 @@
 import tests.fronts as fronts
 import tests.operators as operators
 
-
 CALLS = {
     "platform put": lambda member: operators.put(member, 0, 5),
     "own put": lambda member: operators.own_put(member, 0, "x"),
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -1,5 +1,6 @@
 """Orders to replicas: holders never take turns within the tenure, and no fence falls, whoever is frozen when."""
 
+import itertools
 import types
 
 import hypothesis
@@ -127,7 +128,7 @@
                 send.write()
         elif act == "wait":
             wait_a_while(group, (0.1, 1.0, tenure + constants.TURN_MARGIN + 0.01, 20.0)[turn])
-    for (at, who, fence), (later, other, higher) in zip(group.arrived, group.arrived[1:]):
+    for (at, who, fence), (later, other, higher) in itertools.pairwise(group.arrived):
         assert higher > fence or (higher == fence and who == other)
         assert who == other or later - at >= tenure
 
--- a/tools/service.py
+++ b/tools/service.py
@@ -29,6 +29,8 @@
     "clocks_run_apart": 0.8,
     "disk_stalls": 0.85,
     "wiped_after_acknowledgement": 0.85,
+    "losses_follow_repairs": 0.85,  # three leaders lost in fifteen seconds
+    "wipes_in_a_row": 0.8,  # and four
     "torn_tail": 0.8,  # all keepers die within a second
     "configuration_race": 0.85,
     "owner_dies_staging": 0.85,  # an owner dies amid a change: leases are short
