--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -42,6 +42,7 @@
 LEASE_SLACK = 0.04  # s; owner's margin on a lease for clock rates and rounding.
 ASK_BEAT = 0.25  # s; a router renews this often; three asks fit into a long lease.
 ASK_BEAT_SHORT = 0.05  # s; renewal beat during a change; three fit into a short lease.
+MARK_BITS = 48  # bits of the random number from which a process counts its asks.
 ASK_MOST = 5  # keepers asked at once while no owner is known: three, and two that replace some.
 OLD_GRANTS = 1.6  # s; after a stage is committed no older lease is granted past this.
 LEASE_WAIT = 2.5  # s; a request waits this long for a lease before it is bounced.
--- /dev/null
+++ b/tests/test_lease_restart.py
@@ -0,0 +1,46 @@
+"""A record meant for the process before, at the same address, is no answer to its successor."""
+
+import mothshed.common.constants as constants
+import mothshed.common.lease as lease_module
+import tests.all_orders as all_orders
+
+ADDRESS, KEEPER = "r:1", "k:1"
+
+
+def start(pool, life):
+    """A router's lease; what an earlier life at this address would have received, this one does."""
+    pool.ears[ADDRESS] = {}
+    return lease_module.Lease(all_orders.HandDesk(pool, ADDRESS, life), lambda: [KEEPER])
+
+
+def grant(ask):
+    """The grant that answers an ask, as a leader would send it."""
+    return {
+        "part": 0,
+        "mark": ask["mark"],
+        "length": constants.LEASE_LONG,
+        "number": 1,
+        "active": 3,
+        "docs": [[3, {"n": 3}]],
+        "owner": "K/1",
+    }
+
+
+def ask(pool, lease):
+    lease.ask()
+    return pool.waiting.pop()[3]
+
+
+def test_a_grant_to_the_process_before_is_no_lease_of_its_successor():
+    pool = all_orders.Pool()
+    before = start(pool, "first life")
+    late = [grant(ask(pool, before)) for _ in range(3)]
+    after = start(pool, "second life")
+    for _ in range(3):  # had both lives counted from nought, these would carry the same marks
+        ask(pool, after)
+    pool.time += 1.0
+    for body in late:
+        pool.ears[ADDRESS][("grant", 0)](KEEPER, body)
+    assert after.sequence() is None
+    pool.ears[ADDRESS][("grant", 0)](KEEPER, grant(ask(pool, after)))
+    assert after.sequence() == 3
