--- a/tests/test_plan_over_changes.py
+++ b/tests/test_plan_over_changes.py
@@ -71,19 +71,27 @@
 
 def test_a_lease_that_lapsed_for_a_moment_is_waited_for_with_the_prompt_read(site, monkeypatch):
     host, replicas = site.service("pd")
-    said = iter([None, None])
-    sequence = site.lease.sequence
-    while_reading(
-        replicas[0],
-        lambda: monkeypatch.setattr(site.lease, "sequence", lambda: next(said, False) is False and sequence() or None),
-    )
+    form, asked = site.lease.form, []
+
+    def sequence():
+        asked.append(True)
+        if len(asked) > 2:
+            site.lease.form = form  # renewed
+        return site.lease.form and site.lease.form[0]
+
+    def lapse():
+        site.lease.form = None
+        monkeypatch.setattr(site.lease, "sequence", sequence)
+
+    while_reading(replicas[0], lapse)
     own, answer = site.ask(host)
     assert answer.status == 200 and legs(replicas, "prefill") == 1
+    assert [bool(request.get("Cache-From")) for request in replicas[1].asked] == [True]  # it took what was read
 
 
 def test_without_a_lease_a_read_prompt_is_not_sent_on(site, monkeypatch):
     host, replicas = site.service("pd")
-    while_reading(replicas[0], lambda: monkeypatch.setattr(site.lease, "sequence", lambda: None))
+    while_reading(replicas[0], lambda: monkeypatch.setattr(site.lease, "form", None))
     own, answer = site.ask(host)
     assert answer.status == 503 and legs(replicas, "decode") == 0 and site.platform.ran(own) == []
 
