Each write's fate can be read by its id; a keeper waits for a disk that refuses at its start

GET /configuration/history?id= now answers from the record of taken orders; the checker demands every accepted write there under its sequence, also below the oldest kept row, which it passed over before, and the newest one in the history. Opening a log writes now, so a keeper started while its disk refuses ended with exit 4; it waits instead. A 307 of the operator's front keeps the query. A mark read at start is synced by name once more.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -28,6 +28,8 @@
             raise disk_module.DiskFault("logs without an incarnation: wipe the folder")
         text = chance(6)
         disk.put("incarnation", text.encode())
+    else:
+        disk.sync_names()  # a process killed while it made the mark may not have come to it
     return f"{name}/{text}"
 
 
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -2,7 +2,8 @@
 
 GET /configuration            the active and the latest document
 PUT /configuration            {"base": sequence, "document": {...}, "by": "...", "id": "..."}
-GET /configuration/history    what was accepted, oldest first
+GET /configuration/history    the accepted documents that are kept, oldest first; with ?id=ID, several if
+                              wanted, also `taken`: the sequence that each order was given, or null
 GET /condition, /metrics      this keeper
 
 A keeper that does not own part 0 sends the caller on with 307, to a leader that it
@@ -15,6 +16,7 @@
 import json
 import secrets
 import typing
+import urllib.parse
 
 import mothshed.common.configuration as configuration
 import mothshed.common.constants as constants
@@ -63,7 +65,8 @@
         place = self.seat.members.get(leader_hint.recent_leader(self.seat))
         if not place:
             return front.fault(start, 503, "the configuration part has no owner now", retry=constants.RETRY_AFTER)
-        goal = f"http://{place['http']}{environ['PATH_INFO']}"
+        query = environ.get("QUERY_STRING")
+        goal = f"http://{place['http']}{environ['PATH_INFO']}" + (f"?{query}" if query else "")
         return front.respond(start, 307, {"owner": place["http"]}, [("Location", goal)])
 
     def read(self, environ, start, give):
@@ -90,6 +93,8 @@
         return self.read(environ, start, give)
 
     def history(self, environ, start):
+        asked = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("id", [])
+
         def give():
             m = self.seat.machine
             return {
@@ -99,6 +104,7 @@
                     {"sequence": s, "by": r["by"], "id": r["id"], "document": r["doc"]}
                     for s, r in sorted(m.docs.items())
                 ],
+                "taken": {order_id: m.taken.sequence_of(order_id) for order_id in asked},
             }
 
         return self.read(environ, start, give)
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -1,6 +1,7 @@
 """Asking keepers over HTTP on the operator's behalf; follows 307 to the owner."""
 
 import time
+import urllib.parse
 
 import urllib3
 
@@ -55,10 +56,11 @@
         if status not in (503, 504):
             break
     if status in (503, 504):
-        seen, past = any_of(keepers, "GET", "/configuration/history")
-        for row in past.get("rows", []) if seen == 200 else []:
-            if row["id"] == mark:
-                return 0, {"sequence": row["sequence"], "id": mark}
+        query = urllib.parse.urlencode({"id": mark})
+        seen, past = any_of(keepers, "GET", f"/configuration/history?{query}")
+        sequence = past["taken"][mark] if seen == 200 else None
+        if sequence is not None:
+            return 0, {"sequence": sequence, "id": mark}
         return (6 if said.get("error", {}).get("verdict") == "may_have_run" else 1), said
     return {200: 0, 409: 5, 400: 2}.get(status, 1), said
 
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -23,7 +23,7 @@
         settings = process.load(self, keeper=True)
         make = process.desks(settings)
         try:
-            keeper = keeper_module.Keeper(make(), settings, make, disk_module.Disk(settings["data"]))
+            keeper = keeper_module.Keeper(make(), settings, make, process.open_disk(settings["data"]))
         except disk_module.DiskFault as e:
             raise cappa.Exit(f"data folder is not usable: {e}", code=4) from e
         ring.hold(keeper.journal)
--- a/mothshed/programs/process.py
+++ b/mothshed/programs/process.py
@@ -5,11 +5,13 @@
 import signal
 import sys
 import threading
+import time
 import typing
 
 import cappa
 
 import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
 import mothshed.common.front as front
 import mothshed.common.peers as peers
 import mothshed.common.ring as ring
@@ -69,6 +71,18 @@
     threading.Thread(target=server.safe_start, daemon=True).start()
 
 
+def open_disk(folder: str) -> disk_module.Disk:
+    """The data folder, once it takes writes; raises DiskFault if there is no such folder to be had."""
+    disk = disk_module.Disk(folder)
+    while True:
+        try:
+            disk.put("probe", b".")
+            return disk
+        except disk_module.DiskFault as fault:
+            ring.note("disk_refuses", reason=str(fault))
+            time.sleep(constants.DISK_RETRY)
+
+
 def start_anew():
     """Ends this process politely; whoever keeps it running starts it again."""
     os.kill(os.getpid(), signal.SIGTERM)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -67,7 +67,7 @@
     ],
     "writes": [{"id": "w1", "sequence": 1, "acked": 5.0, "base": 0}],
     "shown": {},
-    "final": {"rows": [{"sequence": 1, "id": "w1"}]},
+    "final": {"rows": [{"sequence": 1, "id": "w1"}], "taken": {"w1": 1}},
     "refused": [],
 }
 
@@ -103,6 +103,18 @@
     "freed": lambda c: c["ledger"].remove(row(c, "free")),
     "answered at once": lambda c: c["history"][1].update(done=19.0),
 }
+WRITES = {
+    "not in the record": lambda c: c["final"]["taken"].clear(),
+    "under another sequence in the record": lambda c: c["final"]["taken"].update(w1=2),
+    "under another sequence in the history": lambda c: c["final"]["rows"][0].update(sequence=2),
+    "the newest one without its document": lambda c: c["final"]["rows"].clear(),
+    "a refused one taken": lambda c: (c["refused"].append("w0"), c["final"]["taken"].update(w0=7)),
+    "two over one base": lambda c: (
+        c["writes"].append({"id": "w2", "sequence": 2, "acked": 99.0, "base": 0}),
+        c["final"]["taken"].update(w2=2),
+        c["final"]["rows"].append({"sequence": 2, "id": "w2"}),
+    ),
+}
 WHOLE = {
     "a piece skipped": {"text": "0.r2.d 2.r2.d "},
     "a piece repeated": {"text": "0.r2.d 0.r2.d "},
@@ -120,6 +132,13 @@
 }
 
 
+@pytest.mark.parametrize("how", WRITES)
+def test_each_way_to_lose_a_write_is_seen(how):
+    case = copy.deepcopy(GOOD)
+    WRITES[how](case)
+    assert rules(case) == {"writes kept"}
+
+
 def test_the_good_history_passes():
     assert rules(copy.deepcopy(GOOD)) == set()
 
--- /dev/null
+++ b/tests/test_open_disk.py
@@ -0,0 +1,30 @@
+"""A keeper that starts while its disk refuses writes waits for it; a folder that is none ends the start."""
+
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
+import mothshed.programs.process as process
+
+
+def test_a_start_waits_for_a_disk_that_refuses(tmp_path, monkeypatch):
+    refusals, pauses = [True] * 3, []
+    put = disk_module.Disk.put
+
+    def refuse(self, name, data):
+        if refusals:
+            refusals.pop()
+            raise disk_module.DiskFault("no space")
+        return put(self, name, data)
+
+    monkeypatch.setattr(disk_module.Disk, "put", refuse)
+    monkeypatch.setattr(process.time, "sleep", pauses.append)
+    disk = process.open_disk(str(tmp_path / "data"))
+    assert pauses == [constants.DISK_RETRY] * 3
+    assert disk.read("probe") == b"."
+
+
+def test_a_folder_that_cannot_be_had_is_a_fault(tmp_path):
+    (tmp_path / "data").write_text("a file in its place")
+    with pytest.raises(disk_module.DiskFault):
+        process.open_disk(str(tmp_path / "data"))
--- a/tools/fleet_run.py
+++ b/tools/fleet_run.py
@@ -14,6 +14,7 @@
 import tools.fleet_faults as fleet_faults
 import tools.judge as judge
 import tools.judge_traffic as judge_traffic
+import tools.read_back as read_back
 
 
 def share(part, whole):
@@ -90,7 +91,7 @@
         for thread in hurt.threads:
             thread.join(60)
         time.sleep(1.5)  # frees and late sends come to rest before the books are read
-        final = fleet.config("/configuration/history")
+        final = read_back.read_back(fleet.config, [row["id"] for row in writes] + list(hurt.refused))
         ledger, shown = fleet.ledger(), fleet.shown_leaving()
         rules = judge.all_rules(rows, ledger, writes, shown, final, hurt.refused)
         rules["freed"] = judge_traffic.freed(ledger, world.now() - 1.0)
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -120,15 +120,18 @@
 
 
 def writes_kept(accepted: recorded.Rows, refused: collections.abc.Iterable[str], final: recorded.Row) -> list[str]:
-    """accepted, refused: sequences/ids of writes; final: the history read back."""
+    """accepted, refused: sequences/ids of writes; final: the history read back, with the record of taken orders."""
     rows = {r["id"]: r["sequence"] for r in final["rows"]}
-    low = min(rows.values(), default=0)
+    taken = final["taken"]
     found = [
-        f"accepted {w['id']} is not in the history"
+        f"accepted {w['id']} is {taken.get(w['id'])} in the record, not {w['sequence']}"
         for w in accepted
-        if rows.get(w["id"]) != w["sequence"] and w["sequence"] >= low
+        if taken.get(w["id"]) != w["sequence"] or rows.get(w["id"], w["sequence"]) != w["sequence"]
     ]
-    found += [f"refused {name} took effect" for name in refused if name in rows]
+    newest = max((w["sequence"] for w in accepted), default=0)
+    if newest and max(rows.values(), default=0) < newest:
+        found.append(f"the history ends before {newest}, which was accepted")
+    found += [f"refused {name} took effect" for name in refused if name in rows or taken.get(name) is not None]
     bases = collections.Counter(w["base"] for w in accepted if w.get("base") is not None)
     found += [f"{n} writes over {base} were accepted" for base, n in bases.items() if n > 1]
     return found
--- a/tools/simulator/end_of_day.py
+++ b/tools/simulator/end_of_day.py
@@ -4,6 +4,7 @@
 
 import tools.judge as judge
 import tools.judge_traffic as judge_traffic
+import tools.read_back as read_back
 
 
 def control(f):
@@ -42,13 +43,20 @@
     return found
 
 
+def answered(f, path):
+    """What the keepers answer to a question of the operator's, or None."""
+    status, said = f.ask("GET", path, most=40)
+    return said if status == 200 else None
+
+
 def close(f, rest=3.0):
     """Lets everything come to rest, reads the configuration back, applies every rule."""
     box = []
     f.run(8.0)  # the last writes have got their answers: what is read now must hold them
-    f.operator(lambda: box.append(f.ask("GET", "/configuration/history", most=40)))
+    ids = [row["id"] for row in f.writes] + list(f.refused)
+    f.operator(lambda: box.append(read_back.read_back(lambda path: answered(f, path), ids)))
     f.run(17.0)
-    final = box[0][1] if box and box[0][0] == 200 else None
+    final = box[0] if box else None
     rules = judge.all_rules(f.rows, f.ledger, f.writes, f.list.history(), final, f.refused, grace=0.0)
     rules["freed"] = judge_traffic.freed(f.ledger, f.loop.time - rest, f.lapse)
     rules["control whole"] = control(f)
--- a/tools/simulator/network.py
+++ b/tools/simulator/network.py
@@ -191,8 +191,10 @@
         channel, gate = Channel(net, own, other), self.new_gate()
         channel.gate_call = gate.set
         data = b"" if body is None else json.dumps(body).encode()
+        place, _, query = path.partition("?")
         environ = {
-            "PATH_INFO": "/" + path,
+            "PATH_INFO": "/" + place,
+            "QUERY_STRING": query,
             "REQUEST_METHOD": method,
             "CONTENT_LENGTH": str(len(data)),
             "wsgi.input": io.BytesIO(data),
