--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -131,13 +131,20 @@
 
     A connection gets a thread once it says something, not before. From then on it is
     watched: a request that does not come whole within READ_TIME, sooner while no thread
-    is free, or an answer not taken by its cutoff, shuts the connection.
+    is free, or an answer not taken by its cutoff, shuts the connection. Threads are
+    started as they are needed: `threads` is how many there may be.
     """
 
     def __init__(self, address, app, threads):
         host, port = address.rsplit(":", 1)
         super().__init__(
-            (host, int(port)), app, numthreads=threads, request_queue_size=256, timeout=20, shutdown_timeout=1
+            (host, int(port)),
+            app,
+            numthreads=min(threads, constants.FRONT_STEP),
+            max=threads,
+            request_queue_size=256,
+            timeout=20,
+            shutdown_timeout=1,
         )
         self.idle_limit = idle.IdleLimit(constants.IDLE_LIMIT)
         self.gateway, self.ConnectionClass = Gateway, headers.Connection
@@ -177,6 +184,8 @@
     def watch(self):
         while True:
             time.sleep(constants.LINE_BEAT)
+            if self.ready and self.requests.idle < constants.FRONT_SPARE:
+                self.requests.grow(constants.FRONT_STEP)
             now, crowded = world.now(), not self.requests.idle
             for conn in list(self.watched):
                 due = conn.arrived + constants.READ_CROWDED if crowded and conn.reading else conn.due
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -74,7 +74,7 @@
                 bounds,
             )
             duty = (
-                orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech)
+                orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech, settings.get("tenure_s"))
                 if part
                 else config_part.ConfigDuty(seat)
             )
@@ -117,17 +117,6 @@
         seat.desk.post(lambda: (box.append(call()), gate.set()))
         return box[0] if gate.wait(constants.COMMIT_WAIT) else None
 
-    def ask_part(self, seat, start):
-        """start(done) in a part's mailbox; waits for done(result). None: not known."""
-        gate, box = self.desk.gate(), []
-
-        def done(result):
-            box.append(result)
-            gate.set()
-
-        seat.desk.post(lambda: start(done))
-        return box[0] if gate.wait(constants.COMMIT_WAIT) else None
-
     def drain(self):
         """Hands every led part to a successor and leaves the groups; True if all were taken over."""
         for seat in self.members:
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -23,7 +23,7 @@
 
 
 class OrderDuty:
-    def __init__(self, member, replicas, lease, journal, speech=None):
+    def __init__(self, member, replicas, lease, journal, speech=None, tenure=None):
         self.order_role = speech.order_role if speech else replica_adapter.order_role
         self.gives_roles = speech is not None and speech.gives_roles
         self.says_standing = speech is None or speech.says_standing
@@ -33,7 +33,7 @@
         self.replicas, self.lease, self.journal = replicas, lease, journal
         self.split = {}  # pool name -> Split
         self.on = False
-        self.tenure = None  # s; how far apart the deployment wants the turns of two holders, if it says so
+        self.tenure = tenure  # s; how far apart the deployment wants the turns of two holders, if it says so
         self.standing, self.from_then = 0, 0.0
         self.busy = set()  # replicas with an order under way
         self.told = set()  # (replica, engine) that took an order under this standing
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -67,7 +67,7 @@
 
 def keeper(member):
     return types.SimpleNamespace(
-        members=[member], duties=[], desk=types.SimpleNamespace(gate=member.gate), in_part=None, ask_part=None
+        members=[member], duties=[], desk=types.SimpleNamespace(gate=member.gate), in_part=None
     )
 
 
