--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -6,13 +6,13 @@
 """
 
 # --- agreement between keepers -------------------------------------------
-HEART_BEAT = 0.12  # s; owner's append beat. Four fit into VOTE_HOLD.
-VOTE_HOLD = 0.6  # s; a member that heard an owner gives no vote for this long.
-ELECT_LOW = 0.65  # s; shortest silence before standing for owner (> VOTE_HOLD by any clock's rate).
+HEART_BEAT = 0.12  # s; leader's append beat. Four fit into VOTE_HOLD.
+VOTE_HOLD = 0.6  # s; a member that heard a leader gives no vote for this long.
+ELECT_LOW = 0.65  # s; shortest silence before standing for leader (> VOTE_HOLD by any clock's rate).
 ELECT_SPAN = 0.3  # s; random spread over it; two that meet in a trial settle it by name.
 ROUNDING = 1e-6  # s; what adding up moments may lose.
-OWNER_FRESH = 0.4  # s; an owner unheard for longer is not named to those who ask (three beats).
-OWNER_QUIET = 0.6  # s; an owner without a majority's answers for this long steps down.
+LEADER_FRESH = 0.4  # s; a leader unheard for longer is not named to those who ask (three beats).
+LEADER_QUIET = 0.6  # s; a leader without a majority's answers for this long steps down.
 ROUND_GAP = 0.01  # s; majority confirmations asked within it share one round.
 WINDOW_BYTES = 262144  # bytes of entries under way to one follower; more waits for its acknowledgement.
 APPEND_BYTES = 65536  # bytes of entries in one append; a larger entry goes alone.
@@ -39,11 +39,11 @@
 # --- configuration leases ------------------------------------------------
 LEASE_LONG = 1.4  # s; lease while no change is under way; bridges most elections.
 LEASE_SHORT = 0.18  # s; lease during a change: keeps the brief's 0.25 s by construction.
-LEASE_SLACK = 0.04  # s; owner's margin on a lease for clock rates and rounding.
+LEASE_SLACK = 0.04  # s; leader's margin on a lease for clock rates and rounding.
 ASK_BEAT = 0.25  # s; a router renews this often; three asks fit into a long lease.
 ASK_BEAT_SHORT = 0.05  # s; renewal beat during a change; three fit into a short lease.
 MARK_BITS = 48  # bits of the random number from which a process counts its asks.
-ASK_MOST = 5  # keepers asked at once while no owner is known: three, and two that replace some.
+ASK_MOST = 5  # keepers asked at once while no leader is known: three, and two that replace some.
 OLD_GRANTS = 1.6  # s; after a stage is committed no older lease is granted past this.
 LEASE_WAIT = 2.5  # s; a request waits this long for a lease before it is bounced.
 HISTORY = 16  # documents older than the active one that are kept for operators to read.
@@ -88,7 +88,7 @@
 LIST_SILENT = 1.9  # s; a reading older than this is not waited for: the list is read by oneself.
 LIST_HOLD = 4.0  # s; news goes to those that asked no longer ago.
 LIST_CHANGES = 64  # changes of the list kept; who is further behind gets it whole.
-LIST_PART = 1  # part whose owner reads the list for all.
+LIST_PART = 1  # part whose leader reads the list for all.
 LIST_TIME = 1.0  # s; longest wait for the list.
 LIST_TRIED = 2.0  # s; nothing is placed if the list was not asked for this long: beat, wait and slack.
 LEAVE_KEEP = 5.0  # s; a neighbour's reading that shows a replica leaving outlasts an own one this much.
@@ -179,7 +179,7 @@
 USAGE_BEAT = 0.2  # s; a busy router tells what it has running this often: about one short prefill.
 USAGE_IDLE = 1.0  # s; the same while it has nothing running.
 USAGE_LIFE = 1.5  # s; a report older than this counts no more.
-USAGE_SILENT = 0.6  # s; an owner that answers none for this long is looked for anew.
+USAGE_SILENT = 0.6  # s; a leader that answers none for this long is looked for anew.
 USAGE_HALF = 1.5  # s; half of what the split goes by is younger than this.
 READ_FULL = 0.3  # s of reading queued per reader at which the readers count as fully used.
 RUN_FULL = 0.5  # share of a writer's slots at which it counts as fully used: its steps slow down.
--- a/mothshed/common/gossip.py
+++ b/mothshed/common/gossip.py
@@ -4,7 +4,7 @@
 its oldest neighbour. Hints (replica usage and cache, who is leaving, keepers'
 addresses) carry an age that grows on the way; the youngest counts and old ones
 die. Nothing that must be agreed on travels here: a keeper's address is only a
-place to ask, and the answer comes from the part's owner.
+place to ask, and the answer comes from the part's leader.
 """
 
 import mothshed.common.constants as constants
@@ -112,6 +112,6 @@
         return 1 + sum(at > old for at in list(self.routers.values()))
 
     def keepers(self):
-        """Addresses to ask for the owner: those vouched for lately, then the seeds."""
+        """Addresses to ask for the leader: those vouched for lately, then the seeds."""
         late = sorted(self.keeps, key=lambda a: -self.keeps[a])
         return [a for a in late if a != self.desk.address] + [s for s in self.seeds if s not in self.keeps]
--- a/mothshed/common/owners.py
+++ b/mothshed/common/leaders.py
@@ -1,13 +1,13 @@
-"""Who owns each service part, as far as is known here: a place to ask, nothing more.
+"""Who leads each service part, as far as is known here: a place to ask, nothing more.
 
-The first ask goes to any keeper; one that does not own the part names the owner it
-follows. An owner that stays silent is forgotten, and keepers are asked in turn.
+The first ask goes to any keeper; one that does not own the part names the leader it
+follows. A leader that stays silent is forgotten, and keepers are asked in turn.
 """
 
 import mothshed.common.constants as constants
 
 
-class Owners:
+class Leaders:
     def __init__(self, desk, keepers):
         self.desk, self.keepers = desk, keepers
         self.known, self.since, self.turn = {}, {}, 0  # part -> address; when an ask first went unanswered
@@ -27,10 +27,10 @@
         return goals[self.turn % len(goals)] if goals else ""
 
     def heard(self, part, address):
-        """The owner of a part has answered."""
+        """The leader of a part has answered."""
         self.known[part] = address
         self.since.pop(part, None)
 
     def on_look_elsewhere(self, sender, body):
-        if body["owner"]:
-            self.known[body["part"]] = body["owner"]
+        if body["leader"]:
+            self.known[body["part"]] = body["leader"]
--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -15,9 +15,9 @@
 class Lease:
     def __init__(self, desk, keepers, changed=lambda: None):
         self.desk = desk
-        self.keepers = keepers  # () -> addresses that may know the owner
+        self.keepers = keepers  # () -> addresses that may know the leader
         self.changed = changed
-        self.owner = ""
+        self.leader = ""
         self.docs = {}  # sequence -> document
         self.active, self.staged = 0, 0
         self.until = 0.0
@@ -51,22 +51,22 @@
     def ask(self):
         now = self.desk.now()
         if now - self.responded > 2 * constants.ASK_BEAT:
-            self.owner = ""
+            self.leader = ""
         self.mark += 1
         self.asked[self.mark] = self.asked_at = now
         self.asked.pop(self.mark - 50, None)
-        for goal in [self.owner] if self.owner else self.some_keepers():
+        for goal in [self.leader] if self.leader else self.some_keepers():
             self.desk.tell(goal, "ask", part=0, mark=self.mark, held=self.active, staged=self.staged)
 
     def some_keepers(self):
-        """While no owner is known: a few at once, in a steady order so that none is passed over."""
+        """While no leader is known: a few at once, in a steady order so that none is passed over."""
         known = sorted(set(self.keepers()))
         self.turn += constants.ASK_MOST
         return [known[(self.turn + n) % len(known)] for n in range(min(constants.ASK_MOST, len(known)))]
 
     def on_look_elsewhere(self, sender, body):
-        if body["owner"] and body["owner"] != self.owner:
-            self.owner = body["owner"]
+        if body["leader"] and body["leader"] != self.leader:
+            self.leader = body["leader"]
             self.responded = self.desk.now()
             self.ask()
 
@@ -75,7 +75,7 @@
         if asked is None:
             return
         self.responded = self.desk.now()
-        self.owner = sender
+        self.leader = sender
         self.stage(body["docs"], sender, body["number"])
         if body["active"] < self.active:
             return
@@ -91,7 +91,7 @@
 
     def on_news(self, sender, body):
         self.responded = self.desk.now()
-        self.owner = sender
+        self.leader = sender
         self.stage(body["docs"], sender, body["number"])
         self.activate(body["active"])
         self.show()
--- a/mothshed/common/listed.py
+++ b/mothshed/common/listed.py
@@ -9,7 +9,7 @@
 """
 
 import mothshed.common.constants as constants
-import mothshed.common.owners as owners
+import mothshed.common.leaders as leaders
 import mothshed.common.replicas as replicas
 import mothshed.common.web as web
 
@@ -18,7 +18,7 @@
     def __init__(self, desk, list_url, journal, speech, keepers):
         super().__init__(desk, list_url, journal)
         self.speech = speech
-        self.owners = owners.Owners(desk, keepers)
+        self.leaders = leaders.Leaders(desk, keepers)
         self.fails = {}  # name -> failures in a row
         self.number = 0  # of the list's news that is held
         self.fresh_at = desk.now() + constants.LIST_SILENT * desk.random.random()  # when the list held was read
@@ -30,7 +30,7 @@
         self.desk.post(self.tick)
 
     def tick(self):
-        goal = self.owners.ask(constants.LIST_PART)
+        goal = self.leaders.ask(constants.LIST_PART)
         self.desk.tell(goal, "list_ask", part=constants.LIST_PART, number=self.number)
         if self.desk.now() - self.fresh_at > self.silent and not self.reading:
             self.reading = True
@@ -39,7 +39,7 @@
 
     def on_news(self, sender, body):
         """What changed in the list, from the one that reads it for all."""
-        self.owners.heard(constants.LIST_PART, sender)
+        self.leaders.heard(constants.LIST_PART, sender)
         if not body["whole"] and body["held"] != self.number:
             return  # a piece is missing: the next ask says what is held
         rows = {} if body["whole"] else {n: r for n, r in self.rows.items() if n not in body["gone"]}
--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -47,10 +47,10 @@
     "hand": "part:q term:q who:s",
     # news
     "ask": "part:q mark:q held:q staged:q",
-    "grant": "part:q mark:q length:d number:q active:q docs:j owner:s",
+    "grant": "part:q mark:q length:d number:q active:q docs:j leader:s",
     "news": "part:q number:q active:q docs:j",
     "news_ack": "part:q number:q staged:q",
-    "look_elsewhere": "part:q mark:q owner:s",
+    "look_elsewhere": "part:q mark:q leader:s",
 }
 NAMES = {name: at + 1 for at, name in enumerate(FIELDS)}
 KINDS = {at: name for name, at in NAMES.items()}
--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -1,10 +1,10 @@
 """The configuration part: whole documents, compare-and-set, stage then activate.
 
-The machine is what every member applies; the duty is what only the owner does:
+The machine is what every member applies; the duty is what only the leader does:
 it answers the asks of those that serve (each after a majority confirmed it),
 pushes numbered news, counts acknowledgements and activates a staged document
 once every leaseholder it may have has staged it or lapsed. The timing argument
-is in docs/configuration.md. A new owner knows neither the leaseholders nor when
+is in docs/configuration.md. A new leader knows neither the leaseholders nor when
 a staged document was acknowledged: it grants no older lease at all until the
 document is active, and waits out a whole LEASE_LONG before that.
 """
@@ -104,12 +104,12 @@
         self.member, self.machine, self.desk = member, member.machine, member.desk
         self.on = False
         self.holders = {}  # address -> leaseholder.Leaseholder
-        self.staged_at = {}  # sequence -> when it was committed under this owner
+        self.staged_at = {}  # sequence -> when it was committed under this leader
         self.inherited = 0  # the newest sequence at the start of this ownership
         self.acks = {}  # news number -> addresses
         self.number = 0
         self.asking = False
-        self.lost = {}  # address -> (when, mark): asked here while this was not the owner
+        self.lost = {}  # address -> (when, mark): asked here while this was not the leader
         member.duties.append(self)
         self.machine.changed = self.changed
         self.desk.hear("ask", self.on_ask, 0)
@@ -123,7 +123,7 @@
         self.started = self.desk.now()
         for address, (at, mark) in self.lost.items():
             if at > self.started - constants.LEASE_LONG:
-                self.desk.tell(address, "look_elsewhere", part=0, mark=mark, owner=self.desk.address)
+                self.desk.tell(address, "look_elsewhere", part=0, mark=mark, leader=self.desk.address)
         self.lost = {}
         self.tick()
 
@@ -161,10 +161,10 @@
             )
 
     def on_ask(self, sender, body):
-        if not (self.on and self.member.owns):
-            owner = leader_hint.leader_address(self.member)
+        if not (self.on and self.member.is_leader):
+            leader = leader_hint.leader_address(self.member)
             self.lost[sender] = (self.desk.now(), body["mark"])
-            self.desk.tell(sender, "look_elsewhere", part=0, mark=body["mark"], owner=owner)
+            self.desk.tell(sender, "look_elsewhere", part=0, mark=body["mark"], leader=leader)
             return
         holder = self.holders.setdefault(sender, leaseholder.Leaseholder())
         holder.staged, holder.active = body["staged"], body["held"]  # a restarted process holds less than before
@@ -175,7 +175,7 @@
         machine, now = self.machine, self.desk.now()
         if machine.latest == machine.active:
             return constants.LEASE_LONG
-        if machine.active < self.inherited:  # staged under another owner: acknowledged nobody knows when
+        if machine.active < self.inherited:  # staged under another leader: acknowledged nobody knows when
             return 0.0
         if now > min(self.staged_at.values(), default=0.0) + constants.OLD_GRANTS:
             return 0.0
@@ -195,7 +195,7 @@
             number=self.number,
             active=self.machine.active,
             docs=holder.take_documents(self.machine, self.desk.now()),
-            owner=self.member.who,
+            leader=self.member.who,
         )
 
     def on_news_ack(self, sender, body):
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -1,13 +1,13 @@
-"""Who owns a part: votes, terms, hand-over.
+"""Who leads a part: votes, terms, hand-over.
 
-A member stands when it has heard no owner for a random while, first in a trial
+A member stands when it has heard no leader for a random while, first in a trial
 round that changes no term, so that a member cut off and back disturbs nobody. It
 stands at the very moment its patience ends, and of two in a trial the one with the
 later name gives way: an asker's answer follows its own ask down one connection, so
 of two survivors only one goes on to the round that counts. No
-member gives a vote within VOTE_HOLD of hearing an owner, nor within VOTE_HOLD of
+member gives a vote within VOTE_HOLD of hearing a leader, nor within VOTE_HOLD of
 its own start (its earlier promise may still hold); leases lean on that. Only a
-named successor of a stopping owner is let past the hold. A member outside its
+named successor of a stopping leader is let past the hold. A member outside its
 own view of the group, an empty or wiped one, never votes and never stands.
 """
 
@@ -34,8 +34,8 @@
 
     def work(self):
         now = self.desk.now()
-        if self.owns:
-            self.keep_owning(now)
+        if self.is_leader:
+            self.keep_leading(now)
         elif self.chart.state in ("follower", "candidate") and not self.leaving:
             due = max(self.heard, self.woken) + self.patience - now
             if due <= 0:
@@ -64,7 +64,7 @@
         self.trial = trial
         self.votes = {self.who}
         self.chart.step("stand")
-        self.owner = ""
+        self.leader = ""
         if not trial:
             self.log.put_term(self.log.term + 1, self.who)
         for m in self.others():
@@ -83,7 +83,7 @@
         now = self.desk.now()
         if self.who not in self.members:
             return
-        if not body["handed"] and (self.owns or now - self.heard < constants.VOTE_HOLD):
+        if not body["handed"] and (self.is_leader or now - self.heard < constants.VOTE_HOLD):
             return
         if body["term"] > self.log.term and not body["trial"]:
             self.take_term(body["term"])
@@ -122,7 +122,7 @@
 
     def win(self):
         self.chart.step("win")
-        self.owner = self.who
+        self.leader = self.who
         self.won_at = self.desk.now()
         self.start_replication()
         self.ready = False
@@ -130,36 +130,36 @@
 
     def begun(self, result):
         """Own first entry committed: all earlier ones are known, duties may start."""
-        if result is not None and self.owns:
+        if result is not None and self.is_leader:
             self.ready = True
             for duty in self.duties:
                 duty.start()
             self.change_members()
 
     def take_term(self, term):
-        was = self.owns
+        was = self.is_leader
         self.log.put_term(term, "")
         self.step_back(was)
 
     def step_back(self, was):
         self.chart.step("follow")
         if was:
-            self.owner = ""
+            self.leader = ""
             self.lose()
 
     def follow(self, body, sender):
-        """A valid owner's record: obey it."""
+        """A valid leader's record: obey it."""
         if body["term"] > self.log.term:
             self.take_term(body["term"])
         elif self.chart.state in ("candidate", "empty"):
             self.step_back(False)
-        self.owner = body["who"]
+        self.leader = body["who"]
         self.where[body["who"]] = sender
         self.heard = self.desk.now()
 
     def hand_over(self):
         """Names the fullest other member as successor and stops taking writes."""
-        if not self.owns:
+        if not self.is_leader:
             return False
         held = {
             m: self.progress[m]
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -125,7 +125,7 @@
         until = self.desk.now() + constants.LEAVE_WAIT
         while self.desk.now() < until and not all(seat.released for seat in self.members):
             self.desk.pause(constants.HEART_BEAT)
-        return not any(seat.owns for seat in self.members)
+        return not any(seat.is_leader for seat in self.members)
 
     def condition(self):
         parts = [m.condition() for m in self.members]
@@ -137,5 +137,5 @@
             "parts": parts,
             "keepers": self.gossip.keepers(),
             "neighbours": sorted(self.gossip.view),
-            "serving": all(p["state"] in ("owner", "follower") and p["owner"] for p in parts),
+            "serving": all(p["state"] in ("leader", "follower") and p["leader"] for p in parts),
         }
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -60,14 +60,14 @@
 
     def elsewhere(self, environ, start):
         """307 to a leader heard of lately, or 503 while there is none; None if this is the leader."""
-        if self.seat.owns:
+        if self.seat.is_leader:
             return None
         place = self.seat.members.get(leader_hint.recent_leader(self.seat))
         if not place:
-            return front.fault(start, 503, "the configuration part has no owner now", retry=constants.RETRY_AFTER)
+            return front.fault(start, 503, "the configuration part has no leader now", retry=constants.RETRY_AFTER)
         query = environ.get("QUERY_STRING")
         goal = f"http://{place['http']}{environ['PATH_INFO']}" + (f"?{query}" if query else "")
-        return front.respond(start, 307, {"owner": place["http"]}, [("Location", goal)])
+        return front.respond(start, 307, {"leader": place["http"]}, [("Location", goal)])
 
     def read(self, environ, start, give):
         away = self.elsewhere(environ, start)
--- a/mothshed/control_plane/leader_hint.py
+++ b/mothshed/control_plane/leader_hint.py
@@ -5,11 +5,11 @@
 
 def recent_leader(member):
     """The id of a leader other than this member that was heard of lately, or ""."""
-    if not member.owner or member.owner == member.who:
+    if not member.leader or member.leader == member.who:
         return ""
-    if member.desk.now() - member.heard >= constants.OWNER_FRESH:
+    if member.desk.now() - member.heard >= constants.LEADER_FRESH:
         return ""
-    return member.owner
+    return member.leader
 
 
 def leader_address(member):
--- a/mothshed/control_plane/list_duty.py
+++ b/mothshed/control_plane/list_duty.py
@@ -1,8 +1,8 @@
 """The platform's list is read by one process and told to all.
 
-The owner of the list's part reads it every beat and pushes what changed, numbered,
+The leader of the list's part reads it every beat and pushes what changed, numbered,
 down the held connections; whoever asks is told the changes since the number it has,
-or the whole. The age of the reading goes along, so that an owner cut off from the
+or the whole. The age of the reading goes along, so that a leader cut off from the
 platform keeps nobody from reading for itself.
 """
 
@@ -84,9 +84,9 @@
 
     def on_ask(self, sender, body):
         member = self.member
-        if not (self.on and member.owns):
-            owner = leader_hint.leader_address(member)
-            self.desk.tell(sender, "look_elsewhere", part=member.part, mark=0, owner=owner)
+        if not (self.on and member.is_leader):
+            leader = leader_hint.leader_address(member)
+            self.desk.tell(sender, "look_elsewhere", part=member.part, mark=0, leader=leader)
             return
         self.holders[sender] = [body["number"], self.desk.now()]
         if self.rows:
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -3,7 +3,7 @@
 A Member runs on a desk, one callback at a time. The chart `member.json` says
 which states may follow which. Election, replication, following and reconfiguration are
 files of their own, mixed in here; this one holds what they share: the effective membership, applying
-committed entries to the part's machine, snapshots, and the owner's confirmed
+committed entries to the part's machine, snapshots, and the leader's confirmed
 reads. A disk that fails to sync stops the member: it no longer knows what it has.
 """
 
@@ -28,10 +28,10 @@
         self.machine = machine  # apply(index, command), dump(), restore(state)
         self.bounds = bounds or reconfiguration.Bounds()
         self.failed = lambda: None  # told once the disk has failed
-        self.duties = []  # start() when owner, stop() when not
+        self.duties = []  # start() when leader, stop() when not
         self.log = disk_log.PartLog(disk, part)
         self.chart = charts.load("member")
-        self.owner = ""
+        self.leader = ""
         self.commit = self.applied = 0
         self.where = {}  # id -> address heard of lately
         self.waits = {}  # index -> (term, call)
@@ -86,8 +86,8 @@
         self.failed()
 
     @property
-    def owns(self):
-        return self.chart.state == "owner"
+    def is_leader(self):
+        return self.chart.state == "leader"
 
     @property
     def members(self):
@@ -97,7 +97,7 @@
     def read_members(self):
         """The latest membership in the log counts, committed or not."""
         self.membership, self.members_at = self.membership_at(self.log.last)
-        if self.owns:
+        if self.is_leader:
             kept = set(self.targets())
             self.progress = {member: row for member, row in self.progress.items() if member in kept}
         if self.members and self.chart.state not in ("empty", "stopped"):
@@ -125,7 +125,7 @@
 
     def propose(self, command, call=lambda result: None):
         """call(result) once committed and applied; call(None): not known, read back."""
-        if not self.owns:
+        if not self.is_leader:
             call(None)
             return
         index = self.log.last + 1
@@ -167,7 +167,7 @@
         self.log.put_snap(snap, keep)
 
     def lose(self):
-        """No longer owner: waiting writes are unknown, waiting reads fail."""
+        """No longer leader: waiting writes are unknown, waiting reads fail."""
         waits, self.waits = self.waits, {}
         for term, call in waits.values():
             call(None)
@@ -178,7 +178,7 @@
     def stop(self):
         if self.chart.state == "stopped":
             return
-        was = self.owns
+        was = self.is_leader
         self.chart.step("stop")
         if was:
             self.lose()
@@ -188,7 +188,7 @@
             "part": self.part,
             "state": self.chart.state,
             "term": self.log.term,
-            "owner": self.owner,
+            "leader": self.leader,
             "commit": self.commit,
             "last": self.log.last,
             "members": sorted(self.members),
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -1,6 +1,6 @@
 """Orders to replicas: roles, by the part's holder only.
 
-The duty runs on the owner of a service part. It takes the seat (one log entry,
+The duty runs on the leader of a service part. It takes the seat (one log entry,
 standing one higher), keeps silent for the turn gap, and then on every beat compares
 what replicas report with what the part has agreed, plans the split, commits
 changed roles and sends what is missing, each send under a sure majority, checked
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -49,7 +49,7 @@
         if self.leaving:
             self.keep_leaving()
             return
-        if now - self.asked_at < constants.JOIN_BEAT or self.owns:
+        if now - self.asked_at < constants.JOIN_BEAT or self.is_leader:
             return
         self.asked_at = now
         if self.chart.state == "empty" and self.address in self.first:
@@ -98,7 +98,7 @@
     def on_join_ask(self, sender, body):
         who = body["who"]
         self.where[who] = body["address"]
-        if not self.owns:
+        if not self.is_leader:
             return
         self.leavers.pop(who, None)
         if who in self.members and self.members[who]["address"] == body["address"]:
@@ -108,7 +108,7 @@
 
     def change_members(self):
         """The leader's next step towards the voters that the group should have, if one is due."""
-        if not self.owns or not self.ready or self.commit < self.members_at:
+        if not self.is_leader or not self.ready or self.commit < self.members_at:
             return
         if self.membership.joint:
             self.propose(self.membership.settled().command())
@@ -129,7 +129,7 @@
             silence={member: self.silence(member, now) for member in self.others()},
             leaving=frozenset(self.leavers),
             smallest=self.bounds.smallest,
-            present_within=constants.OWNER_QUIET,
+            present_within=constants.LEADER_QUIET,
             gone_after=self.bounds.gone_after,
         )
 
@@ -146,7 +146,7 @@
         found = {}
         for who, place in self.learners.items():
             progress = self.progress.get(who)
-            answers = progress and progress.answered and self.silence(who, now) < constants.OWNER_QUIET
+            answers = progress and progress.answered and self.silence(who, now) < constants.LEADER_QUIET
             if answers and progress.match >= self.commit:
                 found[who] = {"address": place["address"], "http": place["http"]}
         return found
@@ -159,15 +159,15 @@
 
     def keep_leaving(self) -> None:
         """The next step of leaving; again on every heartbeat until `released`."""
-        if self.owns:
+        if self.is_leader:
             self.hand_over()
         elif self.who not in self.members:
             self.released = True
-        elif self.owner and not self.released:
-            self.tell(self.owner, "leave")
+        elif self.leader and not self.released:
+            self.tell(self.leader, "leave")
 
     def on_leave(self, sender, body):
-        if not self.owns:
+        if not self.is_leader:
             return
         who = body["who"]
         self.leavers[who] = self.desk.now()
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -46,7 +46,7 @@
 
     def spread_now(self):
         self.spread_due = None
-        if not self.owns:
+        if not self.is_leader:
             return
         self.spread_at = self.desk.now()
         self.round += 1
@@ -101,7 +101,7 @@
 
     def on_snap_say(self, sender, body):
         progress = self.progress.get(body["who"])
-        if not self.owns or body["term"] != self.log.term or progress is None:
+        if not self.is_leader or body["term"] != self.log.term or progress is None:
             return
         progress.answered_at, progress.answered = self.desk.now(), True
         if progress.transfer is None or body["index"] != progress.transfer.encoded.index:
@@ -125,7 +125,7 @@
                 self.take_term(body["term"])
             return
         member = body["who"]
-        if not self.owns or body["term"] != self.log.term or member not in self.targets():
+        if not self.is_leader or body["term"] != self.log.term or member not in self.targets():
             return
         progress = self.progress_of(member)
         progress.echoed(body["round"], self.desk.now())
@@ -147,12 +147,12 @@
         if index > self.commit and self.log.term_at(index) == self.log.term:
             self.commit = index
             self.apply_all()
-            if self.owns:
+            if self.is_leader:
                 self.change_members()
                 self.spread()
 
     def count_rounds(self):
-        if not self.owns:
+        if not self.is_leader:
             return
         seen = {member: progress.round for member, progress in self.progress.items()}
         seen[self.who] = self.round
@@ -166,7 +166,7 @@
 
     def confirm(self, call):
         """call(True) once a majority has answered a round sent from now on."""
-        if not (self.owns and self.ready):
+        if not (self.is_leader and self.ready):
             call(False)
             return
         self.confirms.append((self.round + 1, call))
@@ -178,15 +178,15 @@
             call(False)
 
     def sure(self):
-        return self.owns and self.ready and self.desk.now() < self.sure_until
+        return self.is_leader and self.ready and self.desk.now() < self.sure_until
 
     def silence(self, member, now):
         """Seconds since a member's last answer to this leader, counted from its election at least."""
         progress = self.progress.get(member)
         return now - (progress.answered_at if progress else self.won_at)
 
-    def keep_owning(self, now):
-        present = [m for m in self.others() if self.silence(m, now) < constants.OWNER_QUIET]
+    def keep_leading(self, now):
+        present = [m for m in self.others() if self.silence(m, now) < constants.LEADER_QUIET]
         if not self.membership.has_quorum([*present, self.who]):
             self.step_back(True)
             return
--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -1,6 +1,6 @@
 """A service part: who may order its replicas, and which role each one has.
 
-The owner of the part takes the holder's seat with one log entry, which raises
+The leader of the part takes the holder's seat with one log entry, which raises
 the standing by one; orders carry that standing and a replica refuses a lower
 one. A new holder gives no order until TURN_GAP after its seat was committed, and
 an old one none once it is no longer sure of its majority, so two holders never
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -1,4 +1,4 @@
-"""The owner of a service's part adds up what routers have running at its replicas.
+"""The leader of a service's part adds up what routers have running at its replicas.
 
 Every router that reports is told the sums of all the others at once. Reports die
 young; nothing here is agreed or kept. The same sums, smoothed, are what the split
@@ -19,14 +19,14 @@
 
     def on_usage(self, sender, body):
         member = self.member
-        if not member.owns:
-            fresh = member.owner and self.desk.now() - member.heard < constants.OWNER_FRESH
+        if not member.is_leader:
+            fresh = member.leader and self.desk.now() - member.heard < constants.LEADER_FRESH
             self.desk.tell(
                 sender,
                 "look_elsewhere",
                 part=member.part,
                 mark=body["mark"],
-                owner=member.place_of(member.owner) if fresh else "",
+                leader=member.place_of(member.leader) if fresh else "",
             )
             return
         self.reports[sender] = (self.desk.now(), body["rows"])
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -81,7 +81,7 @@
         self.paces = {}  # name -> tokens/s as measured
 
     def take_others(self, part, rows):
-        """What all other routers have at a part's replicas, as its owner adds it up."""
+        """What all other routers have at a part's replicas, as its leader adds it up."""
         now = self.desk.now()
         with self.lock:
             self.others[part] = (now, rows)
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -1,6 +1,6 @@
 """What this router has running at replicas, told to one holder; what others have, told back.
 
-Each service's part has an owner among the keepers. To it a router says, every beat,
+Each service's part has a leader among the keepers. To it a router says, every beat,
 what it has at that part's replicas (requests, prompt tokens being read, who is out),
 and is told the sums of all other routers. So the number of messages grows with the
 routers, not with routers times replicas. A hint only: nothing is decided by it but
@@ -13,7 +13,7 @@
 
 class UsageShare:
     def __init__(self, desk, replicas, placing):
-        self.desk, self.replicas, self.placing, self.owners = desk, replicas, placing, replicas.owners
+        self.desk, self.replicas, self.placing, self.leaders = desk, replicas, placing, replicas.leaders
         self.busy_at, self.mark = -1e9, 0
         for part in range(1, constants.PARTS):
             desk.hear("usages", self.on_usages, part)
@@ -37,10 +37,10 @@
             self.busy_at = now
         for part, own in rows.items():
             self.mark += 1
-            self.desk.tell(self.owners.ask(part), "usage", part=part, mark=self.mark, rows=own)
+            self.desk.tell(self.leaders.ask(part), "usage", part=part, mark=self.mark, rows=own)
         busy = now - self.busy_at < constants.USAGE_IDLE
         self.desk.beat(constants.USAGE_BEAT if busy else constants.USAGE_IDLE, self.tick)
 
     def on_usages(self, sender, body):
-        self.owners.heard(body["part"], sender)
+        self.leaders.heard(body["part"], sender)
         self.placing.take_others(body["part"], body["rows"])
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -1,4 +1,4 @@
-"""Asking keepers over HTTP on the operator's behalf; follows 307 to the owner."""
+"""Asking keepers over HTTP on the operator's behalf; follows 307 to the leader."""
 
 import time
 import urllib.parse
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -97,7 +97,7 @@
     def propose(self, name):
         """A write through this member, if it leads; noted once acknowledged."""
         seat = self.seats[name]
-        if name in self.down or not (seat.owns and seat.ready):
+        if name in self.down or not (seat.is_leader and seat.ready):
             return
         self.count += 1
         number = self.count
@@ -106,7 +106,7 @@
     # --- what must hold ---
     def check(self):
         for name, seat in self.seats.items():
-            if name not in self.down and seat.owns:
+            if name not in self.down and seat.is_leader:
                 known = self.leaders.setdefault(seat.log.term, seat.who)
                 assert known == seat.who, f"two leaders of term {seat.log.term}: {known}, {seat.who}"
 
@@ -114,7 +114,7 @@
         """Whether a leader has settled on just the members that there are: then a disk may be lost."""
         wanted = {f"{name}/{mark}" for name, mark in self.marks.items()}
         for name, seat in self.seats.items():
-            if name not in self.down and seat.owns and seat.ready and seat.commit >= seat.members_at:
+            if name not in self.down and seat.is_leader and seat.ready and seat.commit >= seat.members_at:
                 if not seat.membership.joint and set(seat.membership.voters) == wanted:
                     newest = max(s.log.term for n, s in self.seats.items() if n not in self.down)
                     return seat.log.term == newest
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -29,14 +29,14 @@
 
     def __init__(self):
         self.machine = config_part.ConfigMachine()
-        self.who, self.owner, self.heard, self.time = "A/1", "A/1", 0.0, 100.0
+        self.who, self.leader, self.heard, self.time = "A/1", "A/1", 0.0, 100.0
         self.members = {w: {"address": f"{w}:1", "http": f"{w[0]}:80"} for w in ("A/1", "B/1", "C/1")}
         self.desk = types.SimpleNamespace(now=lambda: self.time, post=self.post)
-        self.owns, self.confirmed, self.mailbox_stuck, self.commits = True, True, False, "at once"
+        self.is_leader, self.confirmed, self.mailbox_stuck, self.commits = True, True, False, "at once"
         self.box, self.proposed, self.waiting, self.gates = [], [], [], []
 
     def sure(self):
-        return self.owns and self.confirmed
+        return self.is_leader and self.confirmed
 
     def post(self, call):
         self.box.append(call)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -136,8 +136,8 @@
         if source:
             address, slash, name = source.partition("/")
             reader = next((r for r in list(self.platform.replicas.values()) if r.address == address), None)
-            owner = reader.held.pop(name, None) if reader and "forget" not in fault else None
-            if owner != request.get("Try-Id"):
+            leader = reader.held.pop(name, None) if reader and "forget" not in fault else None
+            if leader != request.get("Try-Id"):
                 return 503
         return 0
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -111,11 +111,11 @@
     ],
 )
 def test_a_bad_configuration_names_every_fault_and_applies_nothing(day, body, paths):
-    app = keeper_front.KeeperFront(day.parts[day.owner()])
+    app = keeper_front.KeeperFront(day.parts[day.leader()])
     status, headers, said = fronts.call(app, "PUT", "/configuration", body)
     assert status == 400 and said["error"]["verdict"] == "not_run"
     assert [f.split(":")[0] for f in said["error"].get("faults", [])] == paths
-    assert day.parts[day.owner()].members[0].machine.latest == 1
+    assert day.parts[day.leader()].members[0].machine.latest == 1
 
 
 def test_a_stale_base_gets_409_with_the_current_sequence(day):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -32,7 +32,7 @@
 
 def test_the_owner_is_asked_four_times_a_second_by_everyone(steady):
     beat = 1 / constants.ASK_BEAT
-    assert {n: said["state"]["asks at the owner"] for n, said in steady.items()} == {n: beat * (n + 2) for n in steady}
+    assert {n: said["state"]["asks at the leader"] for n, said in steady.items()} == {n: beat * (n + 2) for n in steady}
     assert {n: said["state"]["leaseholders"] for n, said in steady.items()} == {n: n + 3 for n in steady}
 
 
--- a/tests/test_delivery_parts.py
+++ b/tests/test_delivery_parts.py
@@ -90,11 +90,11 @@
 
 
 class Seat:
-    """The duty's owner, always sure: commits at once."""
+    """The duty's leader, always sure: commits at once."""
 
     def __init__(self, desk):
         self.desk, self.machine, self.duties = desk, config_part.ConfigMachine(), []
-        self.owns, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
+        self.is_leader, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
 
     def confirm(self, call):
         call(True)
@@ -131,7 +131,7 @@
     seat.birth({"A/1": {"address": "a:1", "http": ""}})
     pool.time += 10
     seat.stand(trial=True)
-    assert seat.owns and seat.ready
+    assert seat.is_leader and seat.ready
     pool.time += constants.LEASE_LONG + constants.LEASE_SLACK + 0.01
     said = []
     for base, sequence in ((0, 5), (5, 40)):
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -174,7 +174,7 @@
 
 def test_sums_leave_out_the_asker_the_old_and_what_an_order_no_longer_keeps_away():
     pool = all_orders.Pool()
-    member = types.SimpleNamespace(desk=all_orders.HandDesk(pool, "k:1"), part=1, owns=True)
+    member = types.SimpleNamespace(desk=all_orders.HandDesk(pool, "k:1"), part=1, is_leader=True)
     duty = usage_duty.UsageDuty(member)
     duty.on_usage("r:1", {"mark": 1, "rows": {"d1": [2, 0.5, 1, 0, 10]}})
     duty.on_usage("r:2", {"mark": 1, "rows": {"d1": [3, 0.0, 2, 5, 20], "p1": [1, 0.0, 0, 900, 0]}})
--- a/tests/test_disk_protections.py
+++ b/tests/test_disk_protections.py
@@ -68,10 +68,10 @@
 
 @pytest.mark.parametrize("name", PROTECTIONS)
 def test_without_the_protection_a_loss_of_power_is_seen(name, monkeypatch):
-    owner, changes = PROTECTIONS[name]
+    leader, changes = PROTECTIONS[name]
     states = log_crashes.states_of(log_crashes.SCRIPT)
     for attribute, value in changes.items():
-        monkeypatch.setattr(owner, attribute, value)
+        monkeypatch.setattr(leader, attribute, value)
     with pytest.raises((AssertionError, disk_module.DiskDamaged)):
         for stop in log_crashes.stops(log_crashes.SCRIPT, states=states):
             log_crashes.check_stop(stop)
--- a/tests/test_disk_walks.py
+++ b/tests/test_disk_walks.py
@@ -169,7 +169,7 @@
 
 
 @pytest.mark.parametrize(
-    ("owner", "changes"),
+    ("leader", "changes"),
     [
         (disk_module.Disk, {"sync": lambda self, name: None}),
         (disk_module.Disk, {"sync_names": lambda self: None}),
@@ -177,8 +177,8 @@
     ],
     ids=["no sync", "no sync of names at opening", "segment read in place"],
 )
-def test_a_walk_finds_what_a_missing_protection_loses(owner, changes, monkeypatch):
+def test_a_walk_finds_what_a_missing_protection_loses(leader, changes, monkeypatch):
     for attribute, value in changes.items():
-        monkeypatch.setattr(owner, attribute, value)
+        monkeypatch.setattr(leader, attribute, value)
     with pytest.raises((AssertionError, disk_module.DiskFault)):
         stateful.run_state_machine_as_test(LogWalk, settings=UNSHRUNK)
--- a/tests/test_lease_restart.py
+++ b/tests/test_lease_restart.py
@@ -22,7 +22,7 @@
         "number": 1,
         "active": 3,
         "docs": [[3, {"n": 3}]],
-        "owner": "K/1",
+        "leader": "K/1",
     }
 
 
--- a/tests/test_lease_state.py
+++ b/tests/test_lease_state.py
@@ -24,8 +24,8 @@
 
     def __init__(self, desk):
         self.desk, self.machine, self.duties = desk, config_part.ConfigMachine(), []
-        self.owns, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
-        self.owner, self.heard = self.who, 0.0
+        self.is_leader, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
+        self.leader, self.heard = self.who, 0.0
         self.held_back = []  # confirmations, while they are held back
         self.hold = False
 
--- a/tests/test_log_transfer.py
+++ b/tests/test_log_transfer.py
@@ -114,7 +114,7 @@
     monkeypatch.setattr(constants, "PIECE_BYTES", 64)
     group = group_model.Group(3, 1)
     group.rest()
-    leader = next(name for name, seat in group.seats.items() if seat.owns)
+    leader = next(name for name, seat in group.seats.items() if seat.is_leader)
     away = next(name for name in group.seats if name != leader)
     group.crash(away)
     for _ in range(40):
--- a/tests/test_operator_walks.py
+++ b/tests/test_operator_walks.py
@@ -54,7 +54,7 @@
     """Operators reach both sides; every answer comes within a second, and afterwards all agree."""
     f = sim.SimFleet(f"cut-{seed}", routers=2, replicas=2)
     f.ready()
-    old = f.owner()
+    old = f.leader()
     others = [n for n in f.names("keep") if n != old]
     said = []
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -43,8 +43,8 @@
 
 
 def one_owner_a_term(seats):
-    owners = [s.log.term for s in seats.values() if s.owns]
-    assert len(owners) == len(set(owners))
+    leaders = [s.log.term for s in seats.values() if s.is_leader]
+    assert len(leaders) == len(set(leaders))
 
 
 @pytest.mark.parametrize("pair, trial", [("AB", False), ("AC", True)])
@@ -71,7 +71,7 @@
         return pool, seats
 
     def end(seats):
-        assert sum(s.owns for s in seats.values()) == 1
+        assert sum(s.is_leader for s in seats.values()) == 1
         assert {s.log.term for s in seats.values()} <= ({1} if len(names) == 2 else {1, 2})
 
     depth = 10 if len(names) == 2 else 6
@@ -93,7 +93,7 @@
         return pool, seats
 
     def check(seats):
-        assert not seats["B"].owns and not seats["C"].owns
+        assert not seats["B"].is_leader and not seats["C"].is_leader
         assert seats["C"].log.vote == "" and seats["C"].chart.state in ("empty", "learner")
 
     assert all_orders.explore(make, check, 4) > 100
@@ -135,11 +135,11 @@
 
 
 class Seat:
-    """The duty's owner, always sure: commits at once unless told to hold."""
+    """The duty's leader, always sure: commits at once unless told to hold."""
 
     def __init__(self, desk):
         self.desk, self.machine, self.duties = desk, config_part.ConfigMachine(), []
-        self.owns, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
+        self.is_leader, self.who, self.log = True, "A/1", types.SimpleNamespace(term=1)
 
     def confirm(self, call):
         call(True)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -13,7 +13,7 @@
 
 
 def follower(f):
-    return next(n for n in f.names("keep") if n != f.owner())
+    return next(n for n in f.names("keep") if n != f.leader())
 
 
 def test_a_member_that_missed_a_little_gets_the_entries():
@@ -25,7 +25,7 @@
     f.start(name)
     f.run(3)
     log = f.parts[name].members[0].log
-    assert log.snap is None and log.last == f.parts[f.owner()].members[0].log.last
+    assert log.snap is None and log.last == f.parts[f.leader()].members[0].log.last
     assert f.parts[name].members[0].machine.latest == 6
 
 
@@ -38,12 +38,12 @@
     f.kill(name)
     behind = f.parts[name].members[0].log.last
     write_many(f, 20, 0.3)
-    owner = f.parts[f.owner()].members[0].log
-    assert owner.base > behind  # the entries it missed are kept no more
+    leader = f.parts[f.leader()].members[0].log
+    assert leader.base > behind  # the entries it missed are kept no more
     f.start(name)
     f.run(3)
     late = f.parts[name].members[0]
-    latest = f.parts[f.owner()].members[0].machine.latest
+    latest = f.parts[f.leader()].members[0].machine.latest
     assert late.log.snap["index"] > behind and late.machine.latest == latest == len(f.writes) > 8
     for other in f.names("keep"):  # and what it was handed lasts
         f.kill(other)
--- a/tests/test_runbooks.py
+++ b/tests/test_runbooks.py
@@ -124,5 +124,5 @@
         assert "replica-10" not in fleet.procs  # stopped before the first step
         go("drain-router", address=routers[1])
         go("recover-disk-machine", name="keep-2")
-        go("swap-keeper", old=fleet.owner(), new="keep-4")
+        go("swap-keeper", old=fleet.leader(), new="keep-4")
         assert fleet.config()["active"] == 3
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -29,7 +29,7 @@
     "router: gossip processor",
     "keepers: configuration and agreement processor",
     "router: usage bytes got",
-    "usage owner: processor a report",
+    "usage leader: processor a report",
     "configuration snapshot: bytes",
     "change: bytes the keepers send",
 }
--- a/tools/changes.py
+++ b/tools/changes.py
@@ -56,7 +56,7 @@
     """The costs of this many changes."""
     f = fleet.SimFleet(f"changes.{seed}", routers=1, replicas=2)
     f.ready()
-    name = next(n for n in f.names("keep") if n != f.owner())
+    name = next(n for n in f.names("keep") if n != f.leader())
     f.kill(name)
     count = ByteCount(f)
     for n in range(changes):
@@ -67,21 +67,21 @@
     while f.loop.time - start < MOST and not caught_up(f, name):
         f.run(STEP)
     took = f.loop.time - start
-    leader = f.parts[f.owner()].members[0]
+    leader = f.parts[f.leader()].members[0]
     return Cost(
         changes,
         away,
         count.take(),
         len(leader.log.entries),
         leader.log.size_of(leader.log.base + 1),
-        sum(len(f.disks[f.owner()].read(n)) for n in f.disks[f.owner()].names()),
+        sum(len(f.disks[f.leader()].read(n)) for n in f.disks[f.leader()].names()),
         len(json.dumps(leader.log.snap)) if leader.log.snap else 0,
         took,
     )
 
 
 def caught_up(f, name):
-    leader = f.owner()
+    leader = f.leader()
     if not leader:
         return False
     return f.parts[name].members[0].commit >= f.parts[leader].members[0].commit
--- a/tools/elections.py
+++ b/tools/elections.py
@@ -1,8 +1,8 @@
-"""How long parts stay without an owner: after an owner's kill, and at birth.
+"""How long parts stay without a leader: after a leader's kill, and at birth.
 
 python -m tools.elections --seeds 1-200 --jobs 8
 
-Prints the spread of the time until a new owner of part 0 is ready, of the time
+Prints the spread of the time until a new leader of part 0 is ready, of the time
 until every router has a lease again, and of the longest time any router had none.
 """
 
@@ -13,8 +13,8 @@
 MOST = 12.0  # s; given up after
 
 
-def owned(f, part=0):
-    name = f.owner(part)
+def led(f, part=0):
+    name = f.leader(part)
     return bool(name) and f.parts[name].members[part].ready
 
 
@@ -32,20 +32,20 @@
 
 
 def one(seed, deployment="patinetes"):
-    """(birth, owner again, leases again, longest without a lease) in seconds."""
+    """(birth, leader again, leases again, longest without a lease) in seconds."""
     f = fleet.SimFleet(f"elections.{seed}", deployment, routers=10, replicas=2)
-    birth = until(f, lambda: all(owned(f, part) for part in range(4)))[0]
+    birth = until(f, lambda: all(led(f, part) for part in range(4)))[0]
     f.ready()
     f.run(2 + f.random.random())
-    f.kill(f.owner())
-    again, bare = until(f, lambda: owned(f))
+    f.kill(f.leader())
+    again, bare = until(f, lambda: led(f))
     rest, more = until(
         f,
         lambda: all(
-            f.parts[n].lease.owner
+            f.parts[n].lease.leader
             and f.parts[n].lease.sequence()
-            and f.machines[f.owner() or "outside"].alive
-            and f.parts[n].lease.owner == f.settings[f.owner()]["address"]
+            and f.machines[f.leader() or "outside"].alive
+            and f.parts[n].lease.leader == f.settings[f.leader()]["address"]
             for n in f.names("route")
         ),
     )
@@ -62,10 +62,10 @@
 
 
 def main():
-    seeds, count = simulate.seeds_and_jobs("times without an owner, simulated", "1-40")
+    seeds, count = simulate.seeds_and_jobs("times without a leader, simulated", "1-40")
     rows = list(simulate.many([("", s, "", "") for s in seeds], count, call))
     for at, name in enumerate(
-        ("birth of all parts", "owner ready after a kill", "every router leased by it", "longest without a lease")
+        ("birth of all parts", "leader ready after a kill", "every router leased by it", "longest without a lease")
     ):
         times = sorted((row[at], seed) for row, seed in zip(rows, seeds, strict=False))
         print(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -193,15 +193,15 @@
     def config(self, path="/configuration"):
         return ask.any_of(self.keepers(), "GET", path)[1]
 
-    def owner(self, part=0):
-        """The name of the keeper that owns a part, as its members say."""
+    def leader(self, part=0):
+        """The name of the keeper that leads a part, as its members say."""
         for name, s in self.settings.items():
             if name.startswith("keep") and self.procs[name].poll() is None:
                 try:
                     said = self.pool.request("GET", f"http://{s['http']}/condition", timeout=1.0).json()
                 except (urllib3.exceptions.HTTPError, OSError, ValueError):
                     continue
-                who = said["parts"][part]["owner"]
+                who = said["parts"][part]["leader"]
                 if who:
                     return who.split("/")[0]
         return None
--- a/tools/fleet_faults.py
+++ b/tools/fleet_faults.py
@@ -91,18 +91,18 @@
         self.back("route-3")
 
     def kill_owner(self):
-        name = self.fleet.owner() or "keep-1"
+        name = self.fleet.leader() or "keep-1"
         self.fleet.kill(name)
         self.back(name)
 
     def term_owner(self):
-        name = self.fleet.owner() or "keep-1"
+        name = self.fleet.leader() or "keep-1"
         self.fleet.signal(name, signal.SIGTERM)
         self.fleet.procs[name].wait(30)
         self.back(name)
 
     def wipe_keeper(self):
-        name = self.fleet.owner() or "keep-1"
+        name = self.fleet.leader() or "keep-1"
         self.fleet.kill(name)
         shutil.rmtree(self.fleet.settings[name]["data"])
         self.back(name)
@@ -123,7 +123,7 @@
         self.freeze("route-4")
 
     def freeze_owner(self):
-        self.freeze(self.fleet.owner() or "keep-1")
+        self.freeze(self.fleet.leader() or "keep-1")
 
     def cut(self, some, both=True):
         self.fleet.relays.cut(some, [n for n in self.fleet.settings if n not in some], both)
@@ -131,13 +131,13 @@
         self.config()
 
     def cut_owner(self):
-        self.cut([self.fleet.owner() or "keep-1"])
+        self.cut([self.fleet.leader() or "keep-1"])
 
     def cut_owner_one_way(self):
-        self.cut([self.fleet.owner() or "keep-1"], both=False)
+        self.cut([self.fleet.leader() or "keep-1"], both=False)
 
     def cut_core(self):
-        self.cut([self.fleet.owner() or "keep-1", "route-1"])
+        self.cut([self.fleet.leader() or "keep-1", "route-1"])
 
     def cut_router(self):
         self.cut(["route-2"])
@@ -148,7 +148,7 @@
         self.config()
 
     def hurt_disk(self, **faults):
-        name = self.fleet.owner() or "keep-1"
+        name = self.fleet.leader() or "keep-1"
         self.fleet.disk(name, **faults)
         self.config()
         self.later(HEAL, lambda: (self.fleet.disk(name), self.fleet.kill(name), self.fleet.relaunch(name)))
--- a/tools/hollow/fleet.py
+++ b/tools/hollow/fleet.py
@@ -100,17 +100,17 @@
     def keepers(self):
         return [p for n, p in self.parts.items() if n.startswith("keep")]
 
-    def owner(self, part=0):
-        return next((k for k in self.keepers() if k.members[part].owns), None)
+    def leader(self, part=0):
+        return next((k for k in self.keepers() if k.members[part].is_leader), None)
 
     def run(self, span):
         self.loop.run(self.loop.time + span)
 
     def apply(self, done=lambda result: None):
-        """A new document, put to the owner of the configuration."""
+        """A new document, put to the leader of the configuration."""
         self.applied += 1
-        machine = self.owner().members[0].machine
-        self.owner().members[0].propose(
+        machine = self.leader().members[0].machine
+        self.leader().members[0].propose(
             {
                 "op": "stage",
                 "base": machine.latest,
@@ -130,11 +130,11 @@
         until, asked = self.loop.time + most, False
         while self.loop.time < until:
             self.run(0.25)
-            if self.owner() and not asked and self.owner().members[0].ready:
+            if self.leader() and not asked and self.leader().members[0].ready:
                 self.apply()
                 asked = True
             if asked and self.in_force(1) == len(self.routers()) and all(r.ready() for r in self.routers()):
-                self.run(2.0)  # views settle, owners of parts are found
+                self.run(2.0)  # views settle, leaders of parts are found
                 return self
         raise RuntimeError("the hollow fleet never became ready")
 
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -57,14 +57,14 @@
 
 
 class LoneMember:
-    owns, part = True, 1
+    leads, part = True, 1
 
     def __init__(self):
         self.desk = LoneDesk()
 
 
 def usage_reports(routers, size=None):
-    """What one usage report costs the owner of a service part when so many routers report."""
+    """What one usage report costs the leader of a service part when so many routers report."""
     size = size or design.Size(requests=design.REQUESTS_S / design.NODES)
     member = LoneMember()
     duty = usage_duty.UsageDuty(member)
--- a/tools/hollow/sweeps.py
+++ b/tools/hollow/sweeps.py
@@ -22,7 +22,7 @@
         "region_cut",
         [
             {"whose": "south"},
-            {"whose": "owner"},
+            {"whose": "leader"},
             {"whose": "south", "shared": True},
             {"whose": "north", "shared": True},
         ],
@@ -67,7 +67,7 @@
     ("router: list processor", "routers", ("router", "processor, list"), "core"),
     ("router: memory of its state", "routers", ("state", "resident bytes a router"), "B"),
     ("routers counted by each", "routers", ("state", "routers counted"), "routers"),
-    ("owner: lease asks a second", "routers", ("state", "asks at the owner"), "a second"),
+    ("leader: lease asks a second", "routers", ("state", "asks at the leader"), "a second"),
     (
         "keepers: configuration and agreement processor",
         "routers",
@@ -95,7 +95,7 @@
     ("document: unpacking", "tenants", ("unpack",), "s"),
     ("configuration snapshot: bytes", "tenants", ("snapshot bytes",), "B"),
     ("largest append: bytes", "tenants", ("largest append bytes",), "B"),
-    ("usage owner: processor a report", "reports", ("processor a report",), "s"),
+    ("usage leader: processor a report", "reports", ("processor a report",), "s"),
     ("keeper: memory of the log", "changes", ("memory",), "B"),
     ("keeper: disk of the log", "changes", ("disk bytes",), "B"),
     ("router: processor a request, no events", "placing", ("request",), "s"),
--- a/tools/hollow/trials.py
+++ b/tools/hollow/trials.py
@@ -46,15 +46,15 @@
         "resident bytes a router": held / size.routers,
         "neighbours": sum(len(r.gossip.view) for r in routers) / size.routers,
         "routers counted": sum(len(r.gossip.routers) for r in routers) / size.routers,
-        "leaseholders": len(fleet.owner().duties[0].holders),
+        "leaseholders": len(fleet.leader().duties[0].holders),
         "usage reports": max(len(d.shared_usage.reports) for k in keepers for d in k.duties[1:]),
-        "asks at the owner": sum(n for (role, kind), n in books.sent.items() if kind == "ask") / SPAN,
-        "grants of the owner": sum(n for (role, kind), n in books.sent.items() if kind == "grant") / SPAN,
+        "asks at the leader": sum(n for (role, kind), n in books.sent.items() if kind == "ask") / SPAN,
+        "grants of the leader": sum(n for (role, kind), n in books.sent.items() if kind == "grant") / SPAN,
         "appends": sum(n for (role, kind), n in books.sent.items() if kind in ("append", "append_say")) / SPAN,
         "list pages asked": sum(n for (role, kind), n in books.sent.items() if kind == "list page") / SPAN,
         "faults": len(fleet.loop.faults),
     }
-    # the keepers' sum is given whole: the owner of all parts may be one of them
+    # the keepers' sum is given whole: the leader of all parts may be one of them
     return {
         "router": per_node(books, "route", size.routers, SPAN),
         "keepers": per_node(books, "keep", 1, SPAN),
@@ -91,7 +91,7 @@
 def charged_change(size, seed="capacity", most=30.0):
     """A change while every event keeps its machine busy for the processor time it took here.
 
-    So an owner that packs hundreds of documents is late with its heartbeats, as a real one is.
+    So a leader that packs hundreds of documents is late with its heartbeats, as a real one is.
     """
     fleet = fleet_module.HollowFleet(seed, size).ready()
     fleet.loop.charged = True
@@ -100,9 +100,9 @@
     def term():
         return max(k.members[0].log.term for k in fleet.keepers())
 
-    calm, own, began = term(), fleet.owner(), fleet.loop.time
+    calm, own, began = term(), fleet.leader(), fleet.loop.time
     fleet.run(2.0)
-    if fleet.owner() is None or term() != calm:
+    if fleet.leader() is None or term() != calm:
         return {"calm": False, "elections": term() - calm}
     least, began = size.routers, fleet.loop.time
     fleet.apply()
@@ -114,7 +114,7 @@
         "in force after": fleet.loop.time - began,
         "in force at": fleet.in_force(fleet.applied),
         "elections": term() - calm,
-        "owner is the same": fleet.owner() is own,
+        "leader is the same": fleet.leader() is own,
         "least leased": least,
     }
 
@@ -123,13 +123,13 @@
     """A region is cut off and the configuration changes right after; some seconds later it heals.
 
     shared: all keepers stand in the north, else one in each region. whose: the region that is
-    cut off, "owner" for the one where the configuration's owner stands.
+    cut off, "leader" for the one where the configuration's leader stands.
     """
     size = design.Size(routers=routers, replicas=42, models=21, tenants=24)
     fleet = fleet_module.HollowFleet(seed, size, shared).ready()
     places, parts = fleet.net.places, fleet.parts
-    owner = next(n for n, k in parts.items() if k is fleet.owner())
-    gone = design.region(places[owner]) if whose == "owner" else whose
+    leader = next(n for n, k in parts.items() if k is fleet.leader())
+    gone = design.region(places[leader]) if whose == "leader" else whose
     inside = [n for n, cell in places.items() if design.region(cell) == gone]
     rest = [n for n in places if n not in inside]
     far = [n for n in rest if n.startswith("route")]
@@ -141,15 +141,15 @@
     def leased(names):
         return sum(parts[n].lease.sequence() is not None for n in names)
 
-    def owning():
-        return any(parts[n].members[0].owns and parts[n].members[0].ready for n in most)
+    def leading():
+        return any(parts[n].members[0].is_leader and parts[n].members[0].ready for n in most)
 
-    while not owning() and fleet.loop.time < began + 8:
+    while not leading() and fleet.loop.time < began + 8:
         fleet.run(0.01)
-    found, elected = owning(), fleet.loop.time - began
+    found, elected = leading(), fleet.loop.time - began
     low = [leased(far), leased(cut)]
     if found:
-        keeper = next(parts[n] for n in most if parts[n].members[0].owns)
+        keeper = next(parts[n] for n in most if parts[n].members[0].is_leader)
         fleet.applied += 1
         keeper.members[0].propose(
             {"op": "stage", "base": 1, "by": "capacity", "id": "cut", "doc": design.document(size, 2)}
@@ -171,7 +171,7 @@
         "keepers in one region": shared,
         "cut": gone,
         "keepers left outside": len(most),
-        "owner outside after": elected if found else None,
+        "leader outside after": elected if found else None,
         "in force outside after": outside,
         "least leased outside": low[0],
         "leased outside at the end": during[0],
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -4,7 +4,7 @@
 python -m tools.measure split        a shifting split against a fixed one
 python -m tools.measure fairness     a tenant rushing ten-fold against no rush
 python -m tools.measure scale        membership and delivery at 50 and 200 nodes
-python -m tools.measure gap          service around an owner's death
+python -m tools.measure gap          service around a leader's death
 
 All run in the simulator, so that a figure is the same on every machine; ratios
 count, not the seconds of the stand-ins' model of a replica. --traffic FILE replays
@@ -121,9 +121,9 @@
 
 
 def gap(args, calls):
-    """The longest time without a whole answer begun, and bounces, around a death of the owner."""
+    """The longest time without a whole answer begun, and bounces, around a death of the leader."""
     table = {}
-    for name, hurt in (("no death", None), ("owner killed at 5 s", lambda f: f.later(5, lambda: f.kill(f.owner())))):
+    for name, hurt in (("no death", None), ("leader killed at 5 s", lambda f: f.later(5, lambda: f.kill(f.leader())))):
         f = play(args.seed, calls, real_fleet.document(args.deployment), args.seconds, args.deployment, hurt=hurt)
         first = sorted(r["first"] for r in f.rows if r["end"] == "whole")
         longest_gap = max(later - earlier for earlier, later in itertools.pairwise(first))
--- a/tools/runbook_verbs.py
+++ b/tools/runbook_verbs.py
@@ -35,23 +35,23 @@
 
 @check
 def keepers_agree(book):
-    """Every part has one owner that its members agree on."""
+    """Every part has one leader that its members agree on."""
     found = keepers(book)
     if not found:
         return "no keeper answers"
     for part in range(len(next(iter(found.values()))["parts"])):
-        owners = {c["parts"][part]["owner"] for c in found.values() if c["parts"][part]["state"] != "stopped"}
-        if len(owners) != 1 or "" in owners:
-            return f"part {part}: its members name {sorted(owners) or 'no'} as owner"
+        leaders = {c["parts"][part]["leader"] for c in found.values() if c["parts"][part]["state"] != "stopped"}
+        if len(leaders) != 1 or "" in leaders:
+            return f"part {part}: its members name {sorted(leaders) or 'no'} as leader"
     return None
 
 
 def seats(book):
-    """Map each part to the names of its members, as the owner has them."""
+    """Map each part to the names of its members, as the leader has them."""
     found = {}
     for c in keepers(book).values():
         for row in c["parts"]:
-            if row["state"] == "owner":
+            if row["state"] == "leader":
                 found[row["part"]] = sorted(m.split("/")[0] for m in row["members"])
     return found
 
@@ -71,22 +71,22 @@
 @check
 def members_count(book, count):
     wrong = {p: names for p, names in seats(book).items() if len(names) != int(count)}
-    return f"expected {count} members: {wrong or 'no owner answers'}" if wrong or not seats(book) else None
+    return f"expected {count} members: {wrong or 'no leader answers'}" if wrong or not seats(book) else None
 
 
 @check
 def members_answer(book):
-    """Every member of every part answers, under the id the owner knows, with a vote."""
+    """Every member of every part answers, under the id the leader knows, with a vote."""
     found = keepers(book)
-    rows = [row for c in found.values() for row in c["parts"] if row["state"] == "owner"]
+    rows = [row for c in found.values() for row in c["parts"] if row["state"] == "leader"]
     parts = {row["part"] for c in found.values() for row in c["parts"]}
     if not parts or parts != {row["part"] for row in rows}:
-        return "not every part has an owner that answers"
+        return "not every part has a leader that answers"
     pages = ask.once_each(sorted({http for row in rows for http in row["seats"].values()}), "/condition")
     for row in rows:
         for who, http in row["seats"].items():
             page = pages[http]
-            if not page or page["who"] != who or page["parts"][row["part"]]["state"] not in ("owner", "follower"):
+            if not page or page["who"] != who or page["parts"][row["part"]]["state"] not in ("leader", "follower"):
                 return f"part {row['part']}: member {who} does not answer at {http}"
     return None
 
--- a/tools/service.py
+++ b/tools/service.py
@@ -33,7 +33,7 @@
     "wipes_in_a_row": 0.8,  # and four
     "torn_tail": 0.8,  # all keepers die within a second
     "configuration_race": 0.85,
-    "owner_dies_staging": 0.85,  # an owner dies amid a change: leases are short
+    "owner_dies_staging": 0.85,  # a leader dies amid a change: leases are short
 }
 
 
--- a/tools/simulator/day_base.py
+++ b/tools/simulator/day_base.py
@@ -76,7 +76,7 @@
 
 def on_owner(f, at, act, part=0):
     def run():
-        name = f.owner(part) or f.random.choice(f.names("keep"))
+        name = f.leader(part) or f.random.choice(f.names("keep"))
         act(name)
 
     f.later(at, run)
--- a/tools/simulator/days_of_cuts.py
+++ b/tools/simulator/days_of_cuts.py
@@ -21,8 +21,8 @@
     active = max(w["sequence"] for w in f.writes)
 
     def watch():
-        owner = f.owner()
-        if owner and f.parts[owner].members[0].machine.active > active:
+        leader = f.leader()
+        if leader and f.parts[leader].members[0].machine.active > active:
             f.net.split([name], f.names("keep"))
         else:
             f.later(0.0001, watch)
@@ -35,7 +35,7 @@
 
 @base.day
 def owner_dies_staging(f):
-    """The owner dies right after a write; a router just leased for long hears nothing of it."""
+    """The leader dies right after a write; a router just leased for long hears nothing of it."""
     name = f.random.choice(f.names("route"))
     active = max(w["sequence"] for w in f.writes)
 
@@ -49,9 +49,9 @@
             f.later(0.0005, leased)
 
     def watch():
-        owner = f.owner()
-        if owner and f.parts[owner].members[0].machine.latest > active:
-            base.kill_and_back(f, 3.0)(owner)
+        leader = f.leader()
+        if leader and f.parts[leader].members[0].machine.latest > active:
+            base.kill_and_back(f, 3.0)(leader)
         else:
             f.later(0.0001, watch)
 
@@ -62,13 +62,13 @@
 
 @base.day
 def frozen_owner_with_company(f):
-    """The owner freezes and, with one router, is cut from the other keepers meanwhile."""
+    """The leader freezes and, with one router, is cut from the other keepers meanwhile."""
     name = f.random.choice(f.names("route"))
     span = 4 + f.random.random()
 
-    def act(owner):
-        f.machines[owner].freeze(span)
-        f.net.split([name, owner], [k for k in f.names("keep") if k != owner])
+    def act(leader):
+        f.machines[leader].freeze(span)
+        f.net.split([name, leader], [k for k in f.names("keep") if k != leader])
 
     base.on_owner(f, 3, act)
     for n in range(5):
@@ -79,11 +79,11 @@
 
 @base.day
 def owner_cut_off(f):
-    """The owner is cut from the other keepers, not from operators and routers, and written to."""
+    """The leader is cut from the other keepers, not from operators and routers, and written to."""
     latest = max(w["sequence"] for w in f.writes)
     base.on_owner(f, 3, lambda name: f.net.split([name], [k for k in f.names("keep") if k != name]))
     for n in range(4):
-        base.write(f, 3.01 + 0.05 * n, f"to-a-lost-owner-{n}", latest)
+        base.write(f, 3.01 + 0.05 * n, f"to-a-lost-leader-{n}", latest)
     f.later(7, f.net.heal)
     return 7
 
--- a/tools/simulator/days_of_disks.py
+++ b/tools/simulator/days_of_disks.py
@@ -45,7 +45,7 @@
 
     def watch():
         if len(f.writes) > count:
-            name = f.owner() or f.random.choice(f.names("keep"))
+            name = f.leader() or f.random.choice(f.names("keep"))
             f.kill(name)
             f.wipe(name)
             f.later(1.5, lambda: f.start(name))
@@ -60,28 +60,28 @@
 
 @base.day
 def wiped_and_cut(f):
-    """A follower that took part in an acknowledgement is wiped while the owner is cut off."""
+    """A follower that took part in an acknowledgement is wiped while the leader is cut off."""
     count = len(f.writes)
 
     def watch():
         if len(f.writes) == count:
             f.later(0.002, watch)
             return
-        owner = f.owner() or "keep-1"
+        leader = f.leader() or "keep-1"
         keeps = f.names("keep")
         at = {n: f.parts[n].members[0].log.last for n in keeps}
-        late = min((n for n in keeps if n != owner), key=lambda n: at[n])
-        wiped = next(n for n in keeps if n not in (owner, late))
+        late = min((n for n in keeps if n != leader), key=lambda n: at[n])
+        wiped = next(n for n in keeps if n not in (leader, late))
         f.kill(wiped)
         f.wipe(wiped)
-        f.net.split([owner], [n for n in f.machines if n not in (owner, "outside")])
+        f.net.split([leader], [n for n in f.machines if n not in (leader, "outside")])
         f.later(0.5, lambda: f.start(wiped))
         f.later(8.0, f.net.heal)
 
     def slow_one():
-        owner = f.owner() or "keep-1"
-        late = f.random.choice([n for n in f.names("keep") if n != owner])
-        f.net.cut(owner, late)  # it misses the write
+        leader = f.leader() or "keep-1"
+        late = f.random.choice([n for n in f.names("keep") if n != leader])
+        f.net.cut(leader, late)  # it misses the write
         f.operator(lambda: f.apply("then-wiped"))
 
     f.later(3, slow_one)
--- a/tools/simulator/days_of_machines.py
+++ b/tools/simulator/days_of_machines.py
@@ -75,7 +75,7 @@
 
 @base.day
 def polite_stops(f):
-    """Routers and the owning keeper are stopped politely, one after another."""
+    """Routers and the leading keeper are stopped politely, one after another."""
     for n, name in enumerate(f.names("route")):
         f.later(2 + 3 * n, lambda name=name: stop_router(f, name))
     base.on_owner(f, 4, lambda name: stop_keeper(f, name))
@@ -108,7 +108,7 @@
     ends = [0.0]
     for n in range(5):
         at, span = 1 + 8 * f.random.random(), 0.5 + 3 * f.random.random()
-        kind = f.random.choice(["kill", "freeze", "cut", "crash", "write", "owner", "lapse"])
+        kind = f.random.choice(["kill", "freeze", "cut", "crash", "write", "leader", "lapse"])
         if kind == "kill":
             base.bounce_machine(f, f.random.choice(keeps + routes), at, span)
         elif kind == "freeze":
@@ -120,7 +120,7 @@
             f.later(at + span, f.net.heal)
         elif kind == "crash":
             base.bounce_machine(f, f.random.choice(replicas), at, span)
-        elif kind == "owner":
+        elif kind == "leader":
             base.on_owner(f, at, base.kill_and_back(f, span))
         elif kind == "lapse":
             f.later(at, lambda: base.lapse(f))
--- a/tools/simulator/days_of_quorum.py
+++ b/tools/simulator/days_of_quorum.py
@@ -7,7 +7,7 @@
 
 
 def followers(f):
-    leader = f.owner()
+    leader = f.leader()
     return [name for name in f.names("keep") if name != leader and f.machines[name].alive]
 
 
@@ -74,7 +74,7 @@
         names = {}
 
         def lose(n=n):
-            names[n] = f.owner() or f.random.choice(living(f))
+            names[n] = f.leader() or f.random.choice(living(f))
             replace(f, names[n], f"keep-new-{n + 1}", n)
 
         after_next_write(f, at, f"before-loss-{n}", lose)
@@ -87,7 +87,7 @@
     """The disk of whoever leads is lost right after an acknowledgement, again and again."""
     for n in range(4):
         at = 3 + n * (1.0 + CATCH_UP + 0.1)
-        after_next_write(f, at, f"then-wiped-{n}", lambda: wipe_and_back(f, f.owner() or f.random.choice(living(f))))
+        after_next_write(f, at, f"then-wiped-{n}", lambda: wipe_and_back(f, f.leader() or f.random.choice(living(f))))
     return 3 + 4 * (1.0 + CATCH_UP + 0.1)
 
 
@@ -135,7 +135,7 @@
 @base.day
 def power_lost_right_after_a_repair(f):
     """A wiped keeper is back and just voting again when all machines lose power."""
-    after_next_write(f, 3, "then-wiped", lambda: wipe_and_back(f, f.owner() or living(f)[0]))
+    after_next_write(f, 3, "then-wiped", lambda: wipe_and_back(f, f.leader() or living(f)[0]))
 
     def all_off():
         names = living(f)
@@ -152,7 +152,7 @@
     """Two of five at once: killed, then wiped right after an acknowledgement, then lost for good."""
 
     def pair():
-        leader = f.owner() or living(f)[0]
+        leader = f.leader() or living(f)[0]
         return [leader, f.random.choice([name for name in living(f) if name != leader])]
 
     f.later(3, lambda: [base.kill_and_back(f, 3.0)(name) for name in pair()])
--- a/tools/simulator/days_of_roll_outs.py
+++ b/tools/simulator/days_of_roll_outs.py
@@ -69,7 +69,7 @@
 
 @base.day
 def clocks_run_apart(f):
-    """Every machine's clock runs up to a hundredth fast or slow, through changes and owners' deaths."""
+    """Every machine's clock runs up to a hundredth fast or slow, through changes and leaders' deaths."""
     for name in f.names("keep") + f.names("route") + f.names("replica"):
         f.set_rate(name, 0.99 + 0.02 * f.random.random())
     for n in range(6):
--- a/tools/simulator/end_of_day.py
+++ b/tools/simulator/end_of_day.py
@@ -8,16 +8,16 @@
 
 
 def control(f):
-    """At the end every part has one owner and exactly the living keepers as members."""
+    """At the end every part has one leader and exactly the living keepers as members."""
     found, alive = [], [n for n in f.names("keep") if f.machines[n].alive]
     for part in range(len(f.parts[alive[0]].members)):
         seats = {n: f.parts[n].members[part] for n in alive}
-        owners = [n for n, s in seats.items() if s.owns]
+        leaders = [n for n, s in seats.items() if s.is_leader]
         want = sorted(s.who for s in seats.values())
-        if len(owners) != 1:
-            found.append(f"part {part}: owners {owners}, states {[s.chart.state for s in seats.values()]}")
-        elif sorted(seats[owners[0]].members) != want:
-            found.append(f"part {part}: members {sorted(seats[owners[0]].members)}, alive {want}")
+        if len(leaders) != 1:
+            found.append(f"part {part}: leaders {leaders}, states {[s.chart.state for s in seats.values()]}")
+        elif sorted(seats[leaders[0]].members) != want:
+            found.append(f"part {part}: members {sorted(seats[leaders[0]].members)}, alive {want}")
     return found
 
 
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -186,9 +186,9 @@
     def names(self, stem):
         return [n for n in self.machines if n.startswith(stem)]
 
-    def owner(self, part=0):
+    def leader(self, part=0):
         for name in self.names("keep"):
-            if self.machines[name].alive and self.parts[name].members[part].owns:
+            if self.machines[name].alive and self.parts[name].members[part].is_leader:
                 return name
         return None
 
--- a/tools/weakened.py
+++ b/tools/weakened.py
@@ -16,9 +16,9 @@
 import mothshed.data_plane.carry as carry
 
 
-def put(owner, **changes):
-    """A patch of several attributes of one owner."""
-    return lambda: unittest.mock.patch.multiple(owner, **changes)
+def put(leader, **changes):
+    """A patch of several attributes of one leader."""
+    return lambda: unittest.mock.patch.multiple(leader, **changes)
 
 
 @contextlib.contextmanager
@@ -40,7 +40,7 @@
 
 
 def count_alone(self):
-    """Commits what the owner alone has written."""
+    """Commits what the leader alone has written."""
     if self.log.last > self.commit:
         self.commit = self.log.last
         self.apply_all()
