--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -22,7 +22,7 @@
         self.active, self.staged = 0, 0
         self.until = 0.0
         self.view = (0, 0.0, None)  # (active, until, document), read by other threads
-        self.mark = desk.random.getrandbits(constants.MARK_BITS)  # of the last ask; no other life uses the same
+        self.mark = int(desk.now() * constants.MARKS_A_SECOND)  # of the last ask; no life before used the same
         self.asked, self.responded = {}, desk.now()  # mark -> when it was asked; when the leader last answered
         self.number = 0  # latest news number
         self.turn = 0
--- a/tests/test_lease_restart.py
+++ b/tests/test_lease_restart.py
@@ -35,6 +35,7 @@
     pool = all_orders.Pool()
     before = start(pool, "first life")
     late = [grant(ask(pool, before)) for _ in range(3)]
+    pool.time += 0.001  # a process does not start again sooner
     after = start(pool, "second life")
     for _ in range(3):  # had both lives counted from nought, these would carry the same marks
         ask(pool, after)
