The command line's test reads an order's fate from the record, as the command now does

tests/test_calls failed (3 cases): ask.apply reads the answer of /configuration/history?id=, the stub still gave rows only. The cases stand; the path read is checked as well, and that it is read only after 503 or 504.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -77,23 +77,25 @@
 
 
 @pytest.mark.parametrize(
-    "put, rows, code",
+    "put, taken, code",
     [
-        ((200, {"sequence": 4}), [], 0),
-        ((409, {}), [], 5),
-        ((400, {}), [], 2),
-        ((504, {"error": {"verdict": "may_have_run"}}), [{"id": "mark", "sequence": 9}], 0),
-        ((504, {"error": {"verdict": "may_have_run"}}), [{"id": "other", "sequence": 9}], 6),
-        ((503, {"error": {"verdict": "not_run"}}), [], 1),
+        ((200, {"sequence": 4}), {}, 0),
+        ((409, {}), {}, 5),
+        ((400, {}), {}, 2),
+        ((504, {"error": {"verdict": "may_have_run"}}), {"mark": 9}, 0),
+        ((504, {"error": {"verdict": "may_have_run"}}), {"mark": None}, 6),
+        ((503, {"error": {"verdict": "not_run"}}), {"mark": None}, 1),
     ],
 )
-def test_apply_resolves_unknown_results_by_reading_back(monkeypatch, put, rows, code):
+def test_apply_resolves_unknown_results_by_reading_back(monkeypatch, put, taken, code):
     asked = []
 
     def any_of(addresses, method, path, body=None):
-        asked.append((method, body and body["id"]))
-        return put if method == "PUT" else (200, {"rows": rows})
+        asked.append((method, path, body and body["id"]))
+        return put if method == "PUT" else (200, {"rows": [], "taken": taken})
 
     monkeypatch.setattr(ask, "any_of", any_of)
     assert ask.apply(["k"], 3, {}, "me", "mark")[0] == code
-    assert {mark for method, mark in asked if method == "PUT"} == {"mark"}  # repeats carry the same id
+    assert {mark for method, _, mark in asked if method == "PUT"} == {"mark"}  # repeats carry the same id
+    reads = [path for method, path, _ in asked if method == "GET"]
+    assert reads == (["/configuration/history?id=mark"] if put[0] in (503, 504) else [])
