--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,7 +9,7 @@
 import mothshed.common.configuration as configuration
 
 ROOT = pathlib.Path(__file__).parent.parent
-PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")])
+PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")])
 
 
 def test_the_example_of_routes_is_valid():
