Sight: changes of state are reported as they happen, and what is done for callers that left

Refusals are counted by reason. A front marks when a caller was seen to hang up; sends and work for it over half a second later are counted. No decision reads any of it yet.

--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -110,6 +110,10 @@
         """Past this moment the connection is shut, whoever stalls on it."""
         self.conn.due, self.conn.reading = moment, False
 
+    def left_at(self) -> float | None:
+        """When the caller was first seen to have hung up, in seconds of the boot clock, or None."""
+        return self.conn.left_at
+
     def gone(self):
         """Whether the user agent has hung up."""
         look = select.poll()
@@ -168,7 +172,7 @@
 
     def process_conn(self, conn):
         if not hasattr(conn, "arrived"):  # just accepted
-            conn.arrived = conn.due = None
+            conn.arrived = conn.due = conn.left_at = None
             self.put_conn(conn)
             return
         conn.arrived = world.now()
@@ -187,6 +191,7 @@
             if self.ready and self.requests.idle < constants.FRONT_SPARE:
                 self.requests.grow(constants.FRONT_STEP)
             now, crowded = world.now(), not self.requests.idle
+            self.note_left(now)
             for conn in list(self.watched):
                 due = conn.arrived + constants.READ_CROWDED if crowded and conn.reading else conn.due
                 if conn.socket.fileno() < 0:
@@ -198,5 +203,16 @@
                     except OSError:
                         pass
 
+    def note_left(self, now: float) -> None:
+        """Mark the connections whose callers have hung up, in one look at all of them."""
+        look, by_descriptor = select.poll(), {}
+        for conn in list(self.watched):
+            descriptor = conn.socket.fileno()
+            if descriptor >= 0 and conn.left_at is None:
+                look.register(descriptor, select.POLLRDHUP)
+                by_descriptor[descriptor] = conn
+        for descriptor, _events in look.poll(0) if by_descriptor else ():
+            by_descriptor[descriptor].left_at = now
+
     def error_log(self, msg="", level=20, traceback=False):
         ring.note("http_server", message=msg)
--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -10,6 +10,7 @@
 import typing
 
 import mothshed.common.constants as constants
+import mothshed.common.ring as ring
 
 
 class Lease:
@@ -24,6 +25,7 @@
         self.view = (0, 0.0, None)  # (active, until, document), read by other threads
         self.mark = int(desk.now() * constants.MARKS_A_SECOND)  # of the last ask; no life before used the same
         self.asked, self.responded = {}, desk.now()  # mark -> when it was asked; when the leader last answered
+        self.started = desk.now()
         self.number = 0  # latest news number
         self.turn = 0
         self.asked_at = -constants.ASK_BEAT  # when it last asked
@@ -84,6 +86,7 @@
             length = min(length, constants.LEASE_SHORT)
         self.activate(body["active"])
         if self.active == body["active"]:
+            self.note_gap(asked + length)
             self.until = max(self.until, asked + length)
         if 0 < length <= constants.LEASE_SHORT:
             self.renew_soon()
@@ -118,6 +121,13 @@
             del self.docs[old]
         self.renew_soon()  # what is left of a short lease ends soon; the next one may be long
 
+    def note_gap(self, until: float) -> None:
+        """Report how long no lease ran, if this one ends such a time; counted from the start for the first."""
+        now = self.desk.now()
+        missing = now - max(self.until, self.started)
+        if until > now and missing > constants.LEASE_GAP:
+            ring.report("lease_back", missing_s=round(missing, 3), sequence=self.active, leader=self.leader)
+
     def show(self):
         old = self.view[0]
         self.view = (self.active, self.until, self.docs.get(self.active))
--- a/mothshed/common/ring.py
+++ b/mothshed/common/ring.py
@@ -1,6 +1,8 @@
 """The log ring: eliot messages kept in memory, written out when something goes wrong.
 
-Nothing is logged to a file in ordinary running. `trouble` records a failure and
+In ordinary running only rare changes of state are written as they happen (`report`): who leads
+a part, who votes in it, when leases were missing, what a process had counted. All else stays in
+memory. `trouble` records a failure and
 writes the whole ring, as JSON lines, to the place named at start (a folder file
 or standard error), at most once in a few seconds so that a storm stays readable.
 The events of the process's journal that were not written before go out with it.
@@ -25,8 +27,42 @@
 LOCK = threading.Lock()
 
 
+class Allowance:
+    """How many lines may still be reported now: a storm of changes must not cost its process the time to serve.
+
+    >>> allowance = Allowance(2, per_second=1.0)
+    >>> [allowance.take(at) for at in (0.0, 0.0, 0.0, 1.0, 1.5)]
+    [True, True, False, True, False]
+    """
+
+    def __init__(self, most: int, per_second: float) -> None:
+        self.most, self.per_second = most, per_second
+        self.left, self.at = float(most), 0.0
+
+    def take(self, now: float) -> bool:
+        """Whether one more line may be written at this moment, in seconds."""
+        self.left = min(float(self.most), self.left + (now - self.at) * self.per_second)
+        self.at = now
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
+
+
+ALLOWANCE = Allowance(constants.REPORT_MOST, constants.REPORT_RATE)
+
+
 def keep(message):
-    ROWS.append(message)
+    """Take a message of the log library: into memory, or out at once if it is a report within the allowance."""
+    if not message.pop("report", False):
+        ROWS.append(message)
+        return
+    with LOCK:
+        allowed = ALLOWANCE.take(time.monotonic())
+        if allowed:
+            put_out(line_of(message))
+    if not allowed:
+        ROWS.append(message)
 
 
 def start(name, path=None):
@@ -45,6 +81,11 @@
     eliot.log_message(message_type=kind, **fields)
 
 
+def report(kind: str, **fields: object) -> None:
+    """Write a rare change of state at once; beyond the allowance it is kept in memory like a note."""
+    note(kind, report=True, **fields)
+
+
 def trouble(kind, error=None, **fields):
     if error is not None:
         fields["error"] = "".join(traceback.format_exception(error))
@@ -60,10 +101,20 @@
     events = [{"message_type": kind, **event} for journal in JOURNALS for kind, event in journal.fresh()]
     if events:
         note("journal_written", at=JOURNALS[0].now(), events=len(events))
-    rows = "".join(json.dumps({**row, "process": STATE["name"]}, default=str) + "\n" for row in [*ROWS, *events])
+    rows = "".join(line_of(row) for row in [*ROWS, *events])
     ROWS.clear()
+    put_out(rows)
+
+
+def line_of(row: dict[str, object]) -> str:
+    """One row of the log as a JSON line."""
+    return json.dumps({**row, "process": STATE["name"]}, default=str) + "\n"
+
+
+def put_out(text: str) -> None:
+    """Append lines to the ring's file, or to standard error."""
     if STATE["path"]:
         with open(STATE["path"], "a") as f:
-            f.write(rows)
+            f.write(text)
     else:
-        sys.stderr.write(rows)
+        sys.stderr.write(text)
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -12,6 +12,7 @@
 """
 
 import mothshed.common.constants as constants
+import mothshed.common.ring as ring
 
 
 class Election:
@@ -132,6 +133,8 @@
         """Own first entry committed: all earlier ones are known, duties may start."""
         if result is not None and self.is_leader:
             self.ready = True
+            took = round(self.desk.now() - self.won_at, 3)
+            ring.report("part_led", part=self.part, who=self.who, term=self.log.term, after_s=took)
             for duty in self.duties:
                 duty.start()
             self.change_members()
@@ -144,6 +147,7 @@
     def step_back(self, was):
         self.chart.step("follow")
         if was:
+            ring.report("part_given_up", part=self.part, who=self.who, term=self.log.term)
             self.leader = ""
             self.lose()
 
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -3,6 +3,7 @@
 import secrets
 
 import mothshed.common.constants as constants
+import mothshed.common.counters as counters
 import mothshed.common.disk as disk_module
 import mothshed.common.front as front
 import mothshed.common.gossip as gossip
@@ -107,6 +108,7 @@
         self.replicas.run()
         for seat in self.members:
             seat.begin()
+        counters.CountersReport(self.desk, self.totals).run()
 
     def front(self, make=keeper_front.KeeperFront):
         return front.Server(self.settings["http"], make(self), constants.HTTP_THREADS)
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -96,13 +96,26 @@
 
     def read_members(self):
         """The latest membership in the log counts, committed or not."""
+        former = self.membership
         self.membership, self.members_at = self.membership_at(self.log.last)
+        if self.membership != former:
+            self.report_voters()
         if self.is_leader:
             kept = set(self.targets())
             self.progress = {member: row for member, row in self.progress.items() if member in kept}
         if self.members and self.chart.state not in ("empty", "stopped"):
             self.chart.step("admit" if self.who in self.members else "learn")
 
+    def report_voters(self) -> None:
+        """Say who votes from now on, as this member sees it."""
+        ring.report(
+            "voters",
+            part=self.part,
+            who=self.who,
+            voters=sorted(self.membership.voters),
+            outgoing=sorted(self.membership.outgoing),
+        )
+
     def membership_at(self, index):
         """The membership in effect at an index of the log, and the index of its entry."""
         for body in reversed(self.log.entries):
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -75,6 +75,7 @@
         if self.handle:
             self.router.frees.order(self.handle)
         if self.reply:
+            self.note_caller("worked_after_caller_left", "decode")
             self.reply.close()
         if self.pair:
             self.router.placing.read(self.pair)
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -25,6 +25,7 @@
                 return False
             if self.desk.now() >= self.ask.cutoff:  # the connection came late, or this process stood still
                 return False
+            self.note_caller("sent_after_caller_left", role)
             if not (self.prefills or self.decodes):
                 self.router.budget.sent()
             if role == "prefill":
@@ -37,6 +38,12 @@
 
         return ready
 
+    def note_caller(self, kind: str, stage: str) -> None:
+        """Count what is done over half a second after the caller was seen to have left."""
+        left_at = self.ask.left_at()
+        if left_at is not None and self.desk.now() - left_at > constants.CALLER_LEFT:
+            self.router.journal.add(kind, outcome=stage, request=self.ask.id)
+
     def staying(self, place):
         """Whether a replica is still listed and not shown leaving."""
         return place.name in self.router.replicas.rows and place.name not in self.router.replicas.leaving()
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -49,6 +49,7 @@
     route: dict = None
     patience: float = 0.0  # s it waits for a place
     gone: object = bool  # () -> whether the user agent has hung up
+    left_at: object = type(None)  # () -> when it was seen to have hung up, or None
 
 
 def passed(headers):
@@ -116,7 +117,7 @@
         ask.patience = max(constants.PLACE_LEAST, ask.patience - (self.desk.now() - born))
         if line:
             line.until(ask.cutoff + constants.ANSWER_SLACK)
-            ask.gone = line.gone
+            ask.gone, ask.left_at = line.gone, line.left_at
         return ask
 
     def fault(self, start, status, reason, retry=0, code="not_run"):
@@ -130,6 +131,8 @@
             return front.fault(start, e.status, e.reason, headers=[("Connection", "close")])
         if isinstance(e, verdict.Bounce):
             add("delivery", outcome="bounced" if e.status == 503 else "invalid", reason=e.reason)
+            if e.status == 503:
+                add("refusal", outcome=e.reason.replace(" ", "_"))
             return self.fault(start, e.status, e.reason, e.retry)
         if isinstance(e, verdict.RequestFailure):
             add("delivery", outcome="failed", reason=str(e.exceptions[-1]))
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -4,6 +4,7 @@
 import threading
 
 import mothshed.common.constants as constants
+import mothshed.common.counters as counters
 import mothshed.common.front as front
 import mothshed.common.gossip as gossip
 import mothshed.common.journal as journal_module
@@ -56,6 +57,7 @@
     def run(self):
         self.replicas.run()
         self.desk.spawn(self.frees.run)
+        counters.CountersReport(self.desk, self.totals).run()
 
     @contextlib.contextmanager
     def held_wait(self):
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,59 @@
+"""Rare changes of state are written as they happen, within an allowance, and counters while they change."""
+
+import json
+
+import pytest
+
+import mothshed.common.counters as counters
+import mothshed.common.journal as journal
+import mothshed.common.ring as ring
+
+
+@pytest.fixture
+def written(tmp_path, monkeypatch):
+    """Read what was written so far, as rows."""
+    path = tmp_path / "ring"
+    path.touch()
+    monkeypatch.setattr(ring, "STATE", {"path": str(path), "last": -1e9, "name": "keep-1", "on": True})
+    monkeypatch.setattr(ring, "JOURNALS", [])
+    monkeypatch.setattr(ring, "ALLOWANCE", ring.Allowance(2, 0.0))
+    monkeypatch.setattr(ring, "note", lambda kind, **fields: ring.keep({"message_type": kind, **fields}))
+    ring.ROWS.clear()
+    yield lambda: [json.loads(line) for line in path.read_text().splitlines()]
+    ring.ROWS.clear()
+
+
+def test_a_report_is_written_at_once_and_a_note_is_not(written):
+    ring.note("list", reason="timeout")
+    ring.report("part_led", part=2)
+    assert written() == [{"message_type": "part_led", "part": 2, "process": "keep-1"}]
+
+
+def test_reports_beyond_the_allowance_wait_in_memory_until_something_goes_wrong(written):
+    for part in range(4):
+        ring.report("part_led", part=part)
+    assert [row["part"] for row in written()] == [0, 1]
+    ring.write()
+    assert [row["part"] for row in written()] == [0, 1, 2, 3]
+
+
+class Timers:
+    """Takes one callback at a time, to be called by hand."""
+
+    def beat(self, delay, call):
+        self.delay, self.call = delay, call
+
+
+def test_counters_are_reported_only_while_they_change(written):
+    events, timers = journal.Journal(), Timers()
+    report = counters.CountersReport(timers, events.view(journal.Totals()))
+    report.run()
+    timers.call()
+    assert written() == []
+    events.add("refusal", outcome="no_lease")
+    events.add("refusal", outcome="no_lease")
+    timers.call()
+    timers.call()
+    events.add("refusal", outcome="no_lease")
+    timers.call()
+    assert [(row["refusal"], row["refusal_no_lease"]) for row in written()] == [(2, 2), (1, 1)]
