--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -192,6 +192,45 @@
     assert order_through(change) == ([("A", 1)] if written else [])
 
 
+class NoticeDesk:
+    """A desk on which tasks run at once, and every pause moves the clock and changes the configuration."""
+
+    def __init__(self, group, changes):
+        self.group, self.changes = group, changes
+
+    def now(self):
+        return self.group.pool.time
+
+    def spawn(self, call):
+        call()
+
+    def pause(self, span):
+        wait_a_while(self.group, span)
+        self.changes()
+
+
+def test_an_order_goes_out_though_the_configuration_changes_all_the_while():
+    """Each change leaves the pool alone; the notice that routers get takes longer than two changes are apart."""
+    group, written, sequence = Group(3.0), [], [7]
+    document = {"pools": {"main": {"selector": {"service": "main"}}}}
+    group.lead("A")
+    group.pool.time += 3.3
+    group.seats["A"].renew()
+    duty = group.duties["A"]
+    duty.desk = NoticeDesk(group, lambda: sequence.append(sequence[-1] + 1))
+    duty.lease = types.SimpleNamespace(
+        sequence=lambda: sequence[-1], document=lambda: document, current=lambda: (sequence[-1], document)
+    )
+    duty.journal = types.SimpleNamespace(add=lambda *words, **more: None)
+    row = {"url": "http://r:1", "service": "main", "labels": {"service": "main"}}
+    duty.replicas = types.SimpleNamespace(conditions={}, rows={"r-1": row})
+    duty.shared_usage = types.SimpleNamespace(shifting={})
+    duty.machine.roles["r-1"] = "decode"
+    duty.order_role = lambda desk, url, role, *rest: rest[-1]() and bool(written.append(role)) is False
+    duty.order("r-1", "decode")
+    assert written == ["decode"]
+
+
 @pytest.mark.parametrize("tenure, gap", [(None, constants.TURN_GAP), (1.0, 1.2), (3.0, 3.2), (12.0, 12.2)])
 def test_a_new_holder_waits_as_long_as_its_deployment_says(tenure, gap):
     group = Group(tenure)
