An order to a replica stands while its role and pool do, whatever else changes in the configuration

In a storm of changes every order was dropped, so a pool that lost its last writer stayed without one until the storm was over, over a closing fault too. Ruled out: leases (none was missing), elections (none), a keeper without a majority (core settled). Now asked right before the write: a lease runs, its document has a pool of this replica, and the part still gives it this role. Test: test_order_turns; its row 'newer' said that any newer configuration stops an order; that was the fault. In its place: newer ones that keep the pool let it through, those that drop the pool or the replica from it stop it, and so do another agreed role and a replica no longer listed. The hollow fleet's order_role takes the last check too.

--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -22,6 +22,15 @@
     return condition["run"], condition["wait"], condition["slots"]
 
 
+def selects(selector: dict[str, str], labels: dict[str, str]) -> bool:
+    """Whether a pool's selector fits a replica's labels.
+
+    >>> selects({"service": "a"}, {"service": "a", "zone": "z"}), selects({"service": "a"}, {"service": "b"})
+    (True, False)
+    """
+    return all(labels.get(key) == value for key, value in selector.items())
+
+
 class OrderDuty:
     def __init__(self, member, replicas, lease, journal, speech=None, tenure=None):
         self.order_role = speech.order_role if speech else replica_adapter.order_role
@@ -120,24 +129,36 @@
                 self.order(name, self.machine.roles[name])
 
     def order(self, name, role):
-        row = self.replicas.rows.get(name)
-        standing, sequence = self.standing, self.lease.sequence()
-        if not row or sequence is None:
+        row, standing = self.replicas.rows.get(name), self.standing
+        if not row:
             return
         self.busy.add(name)
-        self.desk.spawn(lambda: self.send(name, row["url"], role, standing, sequence))
+        self.desk.spawn(lambda: self.send(name, row["url"], role, standing))
+
+    def still_wanted(self, name: str, role: str) -> bool:
+        """Whether a lease runs under which the replica belongs to a pool, and the part still gives it this role.
+
+        The role is agreed in the part's own log: a change of the configuration that leaves the replica in a
+        pool does not make its order wrong, however many such changes come while it is prepared.
+        """
+        sequence, document = self.lease.current()
+        row = self.replicas.rows.get(name)
+        if sequence is None or document is None or row is None or self.machine.roles.get(name) != role:
+            return False
+        return any(selects(pool["selector"], row["labels"]) for pool in document["pools"].values())
 
-    def send(self, name, url, role, standing, sequence):
+    def send(self, name, url, role, standing):
         good = False
         if self.shared_usage:  # routers hear of it before the replica does
             self.shared_usage.shifting[name] = self.desk.now() + constants.CHANGE_OUT
             self.desk.pause(constants.ORDER_NOTICE)
 
         def ready() -> bool:
-            return bool(self.may(standing) and self.lease.sequence() == sequence)
+            return bool(self.may(standing) and self.still_wanted(name, role))
 
         try:
             if ready():
+                sequence = self.lease.current()[0]
                 good = self.order_role(self.desk, url, role, standing, self.member.who, sequence, ready)
         except web.WebFault:
             pass
