A caller that leaves ends what its request waits for; nothing more is begun for it

A wait on a replica's socket can't look at the caller's. And a look at one byte took a caller that had sent bytes beyond its request before it closed for one that stays. The last check before each send asks as well, and so does each loop that waits for a lease or a place. A failure after the caller left says nothing of the replica. Both ways of a request use it, ours and the platform's. Line becomes Caller, Left CallerLeft; a replica's response stands in reply.py.

--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -13,6 +13,7 @@
 
 import cheroot.wsgi
 
+import mothshed.common.caller as caller
 import mothshed.common.chunked as chunked
 import mothshed.common.constants as constants
 import mothshed.common.headers as headers
@@ -100,34 +101,10 @@
     return data
 
 
-class Line:
-    """What an app may know and say of the connection that carries its request."""
-
-    def __init__(self, conn):
-        self.conn, self.arrived = conn, conn.arrived
-
-    def until(self, moment):
-        """Past this moment the connection is shut, whoever stalls on it."""
-        self.conn.due, self.conn.reading = moment, False
-
-    def left_at(self) -> float | None:
-        """When the caller was first seen to have hung up, in seconds of the boot clock, or None."""
-        return self.conn.left_at
-
-    def gone(self):
-        """Whether the user agent has hung up."""
-        look = select.poll()
-        try:
-            look.register(self.conn.socket, select.POLLIN)
-            return bool(look.poll(0)) and self.conn.socket.recv(1, socket.MSG_PEEK) == b""
-        except (OSError, ValueError):
-            return True
-
-
 class Gateway(cheroot.wsgi.Gateway_10):
     def get_environ(self):
         raw = {k.decode("latin-1"): v.decode("latin-1") for k, v in self.req.inheaders.items()}
-        return {**super().get_environ(), "mothshed.line": Line(self.req.conn), "mothshed.headers": raw}
+        return {**super().get_environ(), "mothshed.caller": caller.Caller(self.req.conn), "mothshed.headers": raw}
 
 
 class Server(cheroot.wsgi.Server):
@@ -172,7 +149,7 @@
 
     def process_conn(self, conn):
         if not hasattr(conn, "arrived"):  # just accepted
-            conn.arrived = conn.due = conn.left_at = None
+            conn.arrived = conn.due = conn.left_at = conn.caller = None
             self.put_conn(conn)
             return
         conn.arrived = world.now()
@@ -191,7 +168,7 @@
             if self.ready and self.requests.idle < constants.FRONT_SPARE:
                 self.requests.grow(constants.FRONT_STEP)
             now, crowded = world.now(), not self.requests.idle
-            self.note_left(now)
+            self.look_for_those_who_left(now)
             for conn in list(self.watched):
                 due = conn.arrived + constants.READ_CROWDED if crowded and conn.reading else conn.due
                 if conn.socket.fileno() < 0:
@@ -203,16 +180,19 @@
                     except OSError:
                         pass
 
-    def note_left(self, now: float) -> None:
-        """Mark the connections whose callers have hung up, in one look at all of them."""
+    def look_for_those_who_left(self, now: float) -> None:
+        """Cancel what is under way for callers that have hung up; one look at all connections."""
         look, by_descriptor = select.poll(), {}
         for conn in list(self.watched):
             descriptor = conn.socket.fileno()
             if descriptor >= 0 and conn.left_at is None:
-                look.register(descriptor, select.POLLRDHUP)
+                look.register(descriptor, caller.ENDED)
                 by_descriptor[descriptor] = conn
         for descriptor, _events in look.poll(0) if by_descriptor else ():
-            by_descriptor[descriptor].left_at = now
+            conn = by_descriptor[descriptor]
+            conn.left_at = now
+            if conn.caller:
+                conn.caller.cancellation.cancel()
 
     def error_log(self, msg="", level=20, traceback=False):
         ring.note("http_server", message=msg)
--- a/mothshed/common/replica_adapter.py
+++ b/mothshed/common/replica_adapter.py
@@ -101,7 +101,13 @@
     born = desk.now()
     try:
         response = desk.web.send(
-            "POST", place.url + request.path, body, headers_of(request, name, sequence, left), read=left, ready=ready
+            "POST",
+            place.url + request.path,
+            body,
+            headers_of(request, name, sequence, left),
+            read=left,
+            ready=ready,
+            cancellation=request.caller.cancellation,
         )
         if response.status != 200:
             raise bad_status(response, place.name)
@@ -146,6 +152,7 @@
             headers_of(request, name, sequence, left),
             read=min(left, constants.STREAM_QUIET),
             ready=ready,
+            cancellation=request.caller.cancellation,
         )
         if response.status != 200:
             raise bad_status(response, place.name)
--- /dev/null
+++ b/mothshed/common/reply.py
@@ -0,0 +1,131 @@
+"""A replica's response: a head that says where its body ends, and a body read as it comes.
+
+What is cut off, framed in two ways or longer than it says never looks whole: it raises WebFault.
+"""
+
+import collections.abc
+import http.client
+import re
+import socket
+import typing
+
+import urllib3
+
+import mothshed.common.cancellation as cancellation_module
+import mothshed.common.chunked as chunked
+import mothshed.common.constants as constants
+import mothshed.common.web as web
+
+LENGTH = re.compile(r"[0-9]{1,15}")
+
+
+class Response(http.client.HTTPResponse):
+    """A response that notices bytes beyond its end, which the library would drop with its buffer."""
+
+    surplus = False
+
+    def _close_conn(self) -> None:
+        try:
+            file = self.fp
+            file.raw._sock.settimeout(0)
+            self.surplus = bool(file.peek(1))
+        except (OSError, ValueError, AttributeError):  # it has ended already
+            pass
+        super()._close_conn()
+
+
+def check_framing(raw: urllib3.BaseHTTPResponse) -> None:
+    """Raises WebFault unless the head says in one clear way where its body ends."""
+    lengths = raw.headers.getlist("content-length")
+    codings = [coding.lower() for coding in raw.headers.getlist("transfer-encoding")]
+    if raw.status < 200:
+        raise web.WebFault("head is of no final status", True)
+    if codings and (lengths or codings != ["chunked"]):
+        raise web.WebFault("head says in two ways where its body ends", True)
+    if len(lengths) > 1 or lengths and not LENGTH.fullmatch(lengths[0]):
+        raise web.WebFault("head says no clear length", True)
+    if not lengths and not codings and raw.status not in (204, 304):
+        raise web.WebFault("head is cut off or says no length", True)
+
+
+class Reply:
+    """A replica's response: status, headers, and a body read as it comes."""
+
+    def __init__(
+        self,
+        kept: typing.Any,
+        address: str,
+        conn: typing.Any,
+        sock: socket.socket,
+        raw: typing.Any,
+        cancellation: cancellation_module.Cancellation,
+    ) -> None:
+        self.kept, self.address, self.conn, self.sock, self.raw = kept, address, conn, sock, raw
+        self.cancellation = cancellation
+        self.status, self.reason, self.headers = raw.status, raw.reason or "", raw.headers
+        self.whole = False
+
+    def patience(self, span: float) -> None:
+        """Seconds the next reads wait, each.
+
+        Once the body is whole its socket is closed, or serves another exchange: it is left alone.
+        """
+        if not self.conn or self.sock.fileno() < 0:
+            return
+        try:
+            self.sock.settimeout(max(span, 0.01))
+        except OSError as e:  # it has ended already
+            raise web.WebFault(f"body: {e}", True) from e
+
+    def pieces(self) -> collections.abc.Iterator[bytes]:
+        """Bytes as they come; ends only when the body is whole, else raises WebFault."""
+        try:
+            if self.raw.chunked:
+                yield from self.chunks()
+            else:
+                while True:
+                    piece = self.raw.read1(constants.EOF_BYTES, decode_content=False)
+                    if not piece:
+                        break
+                    yield piece
+                if self.raw.length_remaining not in (0, None):
+                    raise web.WebFault("body is cut off", True)
+        except web.WebFault:
+            raise
+        except (*web.FAULTS, AttributeError) as e:
+            raise web.WebFault(f"body: {type(e).__name__}: {e}", True) from e
+        self.finish()
+
+    def chunks(self) -> collections.abc.Iterator[bytes]:
+        """The pieces of a chunked body; the library's own reader takes what is no chunk for one."""
+        body = chunked.ChunkedBody(self.raw._fp.fp)
+        while piece := body.read1(constants.EOF_BYTES):
+            yield piece
+        self.raw._fp.close()
+
+    def all(self, most: int = constants.BODY_MOST) -> bytes:
+        """The whole body at once; longer than most is a WebFault."""
+        rows, size = [], 0
+        for piece in self.pieces():
+            rows.append(piece)
+            size += len(piece)
+            if size > most:
+                self.close()
+                raise web.WebFault("body is too long", True)
+        return b"".join(rows)
+
+    def finish(self) -> None:
+        """The body is whole: its connection may carry the next exchange."""
+        if self.conn:
+            self.whole, conn, self.conn = True, self.conn, None
+            self.cancellation.release()  # one that came before has ended the connection: it is not used again
+            surplus = self.raw._original_response.surplus
+            self.kept.give(self.address, conn, {"connection": "close"} if surplus else self.headers)
+
+    def close(self) -> None:
+        """Ends the exchange where it stands; a replica at work sees it broken off."""
+        if self.conn:
+            conn, self.conn = self.conn, None
+            self.cancellation.release()
+            conn.close()
+            self.raw.close()
--- a/mothshed/common/verdict.py
+++ b/mothshed/common/verdict.py
@@ -52,8 +52,8 @@
         return worst([Verdict.MAY_HAVE_RUN, *(e.verdict for e in self.exceptions)])
 
 
-class Left(Exception):
-    """The user agent hung up: nobody waits for an answer any more."""
+class CallerLeft(Exception):
+    """The caller hung up: nobody waits for an answer any more, and nothing further is done for it."""
 
 
 class Bounce(Exception):
--- a/mothshed/common/web.py
+++ b/mothshed/common/web.py
@@ -13,9 +13,9 @@
 import urllib3
 import urllib3.connection
 
+import mothshed.common.cancellation as cancellation_module
 import mothshed.common.constants as constants
 
-
 NOT_READY = "not ready to send any more"
 
 
@@ -43,8 +43,9 @@
 
 
 class Response:
-    def __init__(self, raw, conn=None):
+    def __init__(self, raw, conn=None, cancellation=None):
         self.raw, self.conn = raw, conn
+        self.cancellation = cancellation or cancellation_module.Cancellation()
         self.status, self.headers = raw.status, raw.headers
 
     def body(self):
@@ -71,6 +72,7 @@
             self.close()
 
     def close(self):
+        self.cancellation.release()
         self.raw.close()
         self.raw.release_conn()
         if self.conn:
@@ -90,8 +92,13 @@
         connect=constants.CONNECT_TIME,
         read=constants.STREAM_QUIET,
         ready=lambda: True,
+        cancellation=None,
     ):
-        """One send on a connection of its own; the caller closes the response."""
+        """One send on a connection of its own; whoever sent closes the response.
+
+        cancellation: what ends it early, from the write until the response is closed.
+        """
+        cancellation = cancellation or cancellation_module.Cancellation()
         data, headers = packed(body, {"connection": "close", **(headers or {})})
         goal = urllib3.util.parse_url(url)
         conn = urllib3.connection.HTTPConnection(goal.host, goal.port or 80, timeout=connect)
@@ -104,10 +111,12 @@
             raise WebFault(NOT_READY, False)
         conn.timeout = max(read, 0.01)
         conn.sock.settimeout(conn.timeout)
+        cancellation.hold(conn.sock)
         try:
             conn.request(method, goal.request_uri, body=data, headers=headers, preload_content=False)
-            return Response(conn.getresponse(), conn)
+            return Response(conn.getresponse(), conn, cancellation)
         except FAULTS as e:
+            cancellation.release()
             conn.close()
             raise WebFault(f"{type(e).__name__}: {e}", True) from e
 
--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -51,6 +51,7 @@
                 yield from self.once(plan)
                 return
             except verdict.SendFailure as e:
+                self.stop_if_caller_left()
                 self.note(e)
                 self.let_go()
                 self.may_repeat(e)
@@ -105,6 +106,7 @@
         router, request = self.router, self.request
 
         def make_plan():
+            self.stop_if_caller_left()
             sequence, document = router.lease.sequence(), router.lease.document()
             if sequence is None or router.held_waiting:  # held handles come before new prompts
                 return None
@@ -152,8 +154,7 @@
             else:  # gathered whole before anything is delivered
                 whole = [row]
                 for row in rows:
-                    if self.request.gone():
-                        raise verdict.Left()
+                    self.stop_if_caller_left()
                     whole.append(row)
                 self.chart.step("relay")
                 yield from whole
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -87,7 +87,7 @@
         raise verdict.SendFailure(NOT_RUN, reason)
 
     def may_repeat(self):
-        if self.over or self.ran and not self.again or self.desk.now() >= self.ask.cutoff or self.ask.gone():
+        if self.over or self.ran and not self.again or self.desk.now() >= self.ask.cutoff:
             return False
         return self.decodes + self.shed < self.route["tries"] and self.desk.now() < self.give_up()
 
@@ -110,6 +110,7 @@
         """A pair of places; waits a little for one, then bounces."""
         until, full = min(self.ask.cutoff, self.desk.now() + self.ask.patience), 0.0
         while True:
+            self.stop_if_caller_left()
             sequence = self.router.lease.sequence()
             if sequence is not None:
                 document = self.router.lease.document()
@@ -158,6 +159,7 @@
                 not self.again,
             )
         except verdict.SendFailure as e:
+            self.stop_if_caller_left()
             if e.reason != web.NOT_READY:
                 self.judge(e, pair.writer)
             raise
@@ -177,6 +179,7 @@
             else:  # gathered whole before anything is delivered
                 first, number, rows = reply.all(), None, iter(())
         except web.WebFault as e:
+            self.stop_if_caller_left()
             self.judge(verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, str(e)), pair.writer)
             raise verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, str(e), name) from e
         self.router.placing.read(pair)
@@ -200,6 +203,7 @@
                 yield from self.following(rows)
                 return
             except web.WebFault as e:
+                self.stop_if_caller_left()
                 broken = verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, str(e), self.pair.writer.name)
                 self.judge(broken, self.pair.writer)
                 self.note(broken)
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -25,6 +25,8 @@
                 return False
             if self.desk.now() >= self.ask.cutoff:  # the connection came late, or this process stood still
                 return False
+            if self.ask.caller.has_left():
+                return False
             self.note_caller("sent_after_caller_left", role)
             if not (self.prefills or self.decodes):
                 self.router.budget.sent()
@@ -38,9 +40,14 @@
 
         return ready
 
+    def stop_if_caller_left(self) -> None:
+        """Raises CallerLeft if nobody waits for the answer any more: whatever failed says nothing of a replica then."""
+        if self.ask.caller.has_left():
+            raise verdict.CallerLeft()
+
     def note_caller(self, kind: str, stage: str) -> None:
         """Count what is done over half a second after the caller was seen to have left."""
-        left_at = self.ask.left_at()
+        left_at = self.ask.caller.left_at()
         if left_at is not None and self.desk.now() - left_at > constants.CALLER_LEFT:
             self.router.journal.add(kind, outcome=stage, request=self.ask.id)
 
@@ -73,6 +80,7 @@
         """A prompt that was read waits a little for a lease that has just run out."""
         until = self.desk.now() + min(self.left(), constants.LEASE_PATIENCE)
         while self.router.lease.sequence() is None and self.desk.now() < until:
+            self.stop_if_caller_left()
             self.desk.pause(constants.PLACE_BEAT)
 
     def may_send(self, role):
@@ -115,6 +123,7 @@
         except verdict.SendFailure as e:
             if e.reason == web.NOT_READY or self.over:
                 raise
+            self.stop_if_caller_left()
             self.fails.append(e)
             if e.verdict is verdict.Verdict.RAN:
                 raise
--- a/mothshed/data_plane/intake.py
+++ b/mothshed/data_plane/intake.py
@@ -8,6 +8,7 @@
 import math
 import re
 
+import mothshed.common.caller as caller_module
 import mothshed.common.constants as constants
 import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.verdict as verdict
@@ -28,7 +29,7 @@
     stream: bool
     born: float
     cutoff: float  # moment by which the answer must be whole
-    gone: object = bool  # () -> whether the user agent has hung up
+    caller: caller_module.Caller = dataclasses.field(default_factory=caller_module.Caller)
 
 
 def bad(reason, status=400):
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -9,6 +9,7 @@
 import dataclasses
 import functools
 
+import mothshed.common.caller as caller_module
 import mothshed.common.constants as constants
 import mothshed.common.front as front
 import mothshed.common.ring as ring
@@ -48,8 +49,7 @@
     cutoff: float
     route: dict = None
     patience: float = 0.0  # s it waits for a place
-    gone: object = bool  # () -> whether the user agent has hung up
-    left_at: object = type(None)  # () -> when it was seen to have hung up, or None
+    caller: caller_module.Caller = dataclasses.field(default_factory=caller_module.Caller)
 
 
 def passed(headers):
@@ -63,13 +63,13 @@
         self.router, self.speech, self.desk = router, router.speech, router.desk
 
     def __call__(self, environ, start):
-        router, line = self.router, environ.get("mothshed.line")
-        born = line.arrived if line else self.desk.now()
+        router, caller = self.router, environ.get("mothshed.caller") or caller_module.Caller()
+        born = self.desk.now() if caller.arrived is None else caller.arrived
         if not router.enter():
             return self.fault(start, 503, "this router is stopping", constants.BOUNCE_RETRY)
         way = None
         try:
-            ask = self.read(environ, born, line)
+            ask = self.read(environ, born, caller)
             way = deliver.Deliver(router, ask)
             begun = way.start()
         except BaseException as e:
@@ -82,15 +82,17 @@
         start(f"{reply.status} {reply.reason}", headers)
         return Body(router, way, begun)
 
-    def read(self, environ, born, line):
-        """The request; Bounce when it can't be delivered."""
+    def read(self, environ, born, caller):
+        """The request; Bounce when it can't be delivered, CallerLeft when nobody waits for it."""
         raw, router = environ["mothshed.headers"], self.router
         limits = (router.lease.document() or {}).get("limits", {})
         data = front.body_of(environ, limits.get("body_bytes", constants.BODY_MOST))
         target, host = environ["REQUEST_URI"], raw.get("Host", "")
         until = self.desk.now() + constants.LEASE_PATIENCE
-        while router.lease.sequence() is None and self.desk.now() < until:
+        while router.lease.sequence() is None and self.desk.now() < until and not caller.has_left():
             self.desk.pause(constants.PLACE_BEAT)
+        if caller.has_left():
+            raise verdict.CallerLeft()
         sequence, document = router.lease.sequence(), router.lease.document()
         if sequence is None or document is None:
             raise verdict.Bounce(503, "no configuration in force", constants.BOUNCE_LEASE, "no_lease")
@@ -115,9 +117,8 @@
         )
         ask.patience = constants.PLACE_SHARE * route["aim_s"] if "aim_s" in route else constants.PLACE_USUAL
         ask.patience = max(constants.PLACE_LEAST, ask.patience - (self.desk.now() - born))
-        if line:
-            line.until(ask.cutoff + constants.ANSWER_SLACK)
-            ask.gone, ask.left_at = line.gone, line.left_at
+        ask.caller = caller
+        caller.shut_after(ask.cutoff + constants.ANSWER_SLACK)
         return ask
 
     def fault(self, start, status, reason, retry=0, code="not_run"):
@@ -134,6 +135,9 @@
             if e.status == 503:
                 add("refusal", outcome=e.reason.replace(" ", "_"))
             return self.fault(start, e.status, e.reason, e.retry)
+        if isinstance(e, verdict.CallerLeft):
+            add("delivery", outcome="left")
+            return self.fault(start, 502, "the caller hung up", 0, "may_have_run")
         if isinstance(e, verdict.RequestFailure):
             add("delivery", outcome="failed", reason=str(e.exceptions[-1]))
             late = any(f.reason == "cutoff passed" or "Timeout" in f.reason for f in e.exceptions)
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -50,7 +50,7 @@
                 start, 503, "this router is stopping", retry=constants.RETRY_AFTER, headers=[("Connection", "close")]
             )
         try:
-            request = self.read(path, environ, headers, environ.get("mothshed.line"))
+            request = self.read(path, environ, headers, environ.get("mothshed.caller"))
             run = carry.Carry(router, request).run()
             first = next(run)
         except BaseException as e:
@@ -68,16 +68,16 @@
         router.journal.add("request", outcome="done", request=request.id)
         return front.respond(start, 200, whole(request, rows), [("X-Request-Id", request.id)])
 
-    def read(self, path, environ, headers, line):
+    def read(self, path, environ, headers, caller):
         """The request; its waits and cutoff count from when it arrived, not from when a thread was free."""
-        born, data = line.arrived if line else self.router.desk.now(), front.body_of(environ)
+        born, data = caller.arrived if caller else self.router.desk.now(), front.body_of(environ)
         document = self.router.lease.document()
         if document is None:
             raise verdict.Bounce(503, "no configuration yet", constants.RETRY_AFTER, "no_configuration")
         request = intake.parse(born, path, headers, data, document)
-        if line:
-            line.until(request.cutoff + constants.ANSWER_SLACK)
-            request.gone = line.gone
+        if caller:
+            caller.shut_after(request.cutoff + constants.ANSWER_SLACK)
+            request.caller = caller
         return request
 
     def failed(self, start, e, headers):
@@ -93,7 +93,7 @@
             if e.status == 503:
                 add("bounce", outcome="no_lease" if self.router.lease.sequence() is None else e.cause)
             return front.fault(start, e.status, e.reason, retry=e.retry, headers=extra)
-        if isinstance(e, verdict.Left):
+        if isinstance(e, verdict.CallerLeft):
             add("request", outcome="left")
             return front.fault(start, 502, "the user agent hung up", verdict="may_have_run", headers=extra)
         if isinstance(e, verdict.RequestFailure):
--- a/mothshed/data_plane/sends.py
+++ b/mothshed/data_plane/sends.py
@@ -23,6 +23,7 @@
         """The sequence to send under, waited for a little when the lease just lapsed."""
         until = min(self.request.cutoff, self.desk.now() + constants.LEASE_WAIT)
         while True:
+            self.stop_if_caller_left()
             sequence = self.router.lease.sequence()
             if sequence is not None:
                 return sequence, self.router.lease.document()
@@ -43,6 +44,11 @@
 
         return check
 
+    def stop_if_caller_left(self) -> None:
+        """Raises CallerLeft if nobody waits for the answer any more."""
+        if self.request.caller.has_left():
+            raise verdict.CallerLeft()
+
     def left(self):
         left = self.request.cutoff - self.desk.now()
         if left <= 0:
@@ -50,10 +56,8 @@
         return left
 
     def name(self):
-        """The next send's name; none is made for a user agent that has hung up."""
-        if self.request.gone():
-            self.chart.step("fail")
-            raise verdict.Left()
+        """The next send's name; none is made for a caller that has left."""
+        self.stop_if_caller_left()
         self.number += 1
         return f"{self.ask}.{self.number}"
 
@@ -65,6 +69,7 @@
             replicas.end(name)
         self.reading = self.writing = None
         while True:
+            self.stop_if_caller_left()
             with replicas.lock:
                 fresh = planning.make(replicas, sequence, document, request, self.router.cell, self.without)
                 if fresh:
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -57,6 +57,20 @@
     assert platform_site.asked([writer]) == 0 and len(reader.asked) == 1
 
 
+@pytest.mark.parametrize("resumable, tries", [(False, 1), (True, 2)], ids=["runs once", "may be taken up"])
+def test_who_leaves_before_the_first_event_ends_the_decode_and_gets_no_other(site, resumable, tries):
+    host, (reader, *writers) = service(site, "pdd", resumable=resumable, tries=tries)
+    for writer in writers:
+        writer.always = {"silent": True}
+    caller = Caller(site, host)
+    platform_site.until(lambda: platform_site.asked(writers) == 1)
+    caller.leave()
+    platform_site.until(lambda: sum(writer.left for writer in writers) == 1, SPAN)
+    ended(site)
+    assert platform_site.asked(writers) == 1
+    platform_site.until(lambda: reader.freed, SPAN)  # what was read is not left behind
+
+
 @pytest.mark.parametrize("resumable", [False, True])
 def test_who_leaves_between_two_events_ends_the_run(site, resumable):
     host, (reader, *writers) = service(
@@ -68,3 +82,43 @@
     platform_site.until(lambda: sum(writer.left for writer in writers) == 1, SPAN)
     ended(site)
     assert platform_site.asked(writers) == 1
+
+
+def test_who_leaves_while_the_answer_is_gathered_ends_the_run(site):
+    host, (writer,) = service(site, "d", engine=False, kind="repeatable", facts={"events": 0})
+    writer.always = {"silent": True}
+    caller = Caller(site, host, prompt=False)
+    platform_site.until(lambda: writer.asked)
+    caller.leave()
+    platform_site.until(lambda: writer.left == 1, SPAN)
+    ended(site)
+
+
+def test_a_replica_is_not_blamed_for_a_caller_that_left(site):
+    host, (reader, writer) = service(site, "pd")
+    writer.always = {"silent": True}
+    caller = Caller(site, host)
+    platform_site.until(lambda: writer.asked)
+    caller.leave()
+    ended(site)
+    assert writer.name not in site.router.replicas.fails and writer.name not in site.router.replicas.doubts
+
+
+def test_who_leaves_while_no_place_is_free_is_sent_nowhere(site, monkeypatch):
+    host, replicas = service(site, "pd")
+    looked = []
+    pair = site.router.placing.pair
+
+    def after_the_caller_left(*given):
+        if not looked:
+            looked.append(True)
+            caller.leave()
+            return None
+        platform_site.until(lambda: True)
+        return pair(*given)
+
+    monkeypatch.setattr(site.router.placing, "pair", after_the_caller_left)
+    caller = Caller(site, host)
+    platform_site.until(lambda: looked)
+    ended(site)
+    assert platform_site.asked(replicas) == 0
--- /dev/null
+++ b/tests/test_cancellation.py
@@ -0,0 +1,163 @@
+"""A cancellation ends the wait under way and every later one, and never touches a socket that was let go."""
+
+import socket
+import threading
+
+import pytest
+
+import mothshed.common.caller as caller
+import mothshed.common.cancellation as cancellation_module
+import mothshed.common.kept as kept_module
+import mothshed.common.web as web
+import mothshed.common.world as world
+import tests.bare_http as bare_http
+
+
+@pytest.fixture
+def pair():
+    left, right = socket.socketpair()
+    yield left, right
+    left.close()
+    right.close()
+
+
+def ended(sock):
+    sock.settimeout(0)
+    try:
+        return sock.recv(1) == b""
+    except BlockingIOError:
+        return False
+
+
+def test_a_wait_under_way_ends_and_so_does_one_that_begins_later(pair):
+    cancellation, waited = cancellation_module.Cancellation(), []
+    cancellation.hold(pair[0])
+    waiter = threading.Thread(target=lambda: waited.append(pair[0].recv(1)))
+    waiter.start()
+    cancellation.cancel()
+    waiter.join(10)
+    assert waited == [b""] and ended(pair[1])
+    others = socket.socketpair()
+    cancellation.hold(others[0])
+    assert ended(others[1])
+    for sock in others:
+        sock.close()
+
+
+def test_a_socket_that_was_let_go_is_left_alone(pair):
+    cancellation = cancellation_module.Cancellation()
+    cancellation.hold(pair[0])
+    cancellation.release()
+    cancellation.cancel()
+    assert not ended(pair[1]) and cancellation.cancelled
+
+
+def test_a_socket_that_has_ended_already_is_no_fault(pair):
+    cancellation = cancellation_module.Cancellation()
+    cancellation.hold(pair[0])
+    pair[0].close()
+    cancellation.cancel()
+    assert cancellation.cancelled
+
+
+class Server(bare_http.Listener):
+    """Answers at once, or not at all for a path that says so."""
+
+    def __init__(self):
+        self.asked, self.left = threading.Event(), threading.Event()
+        super().__init__()
+
+    def answer(self, conn, request):
+        if request.target == "/silent":
+            self.asked.set()
+            if conn.recv(1) == b"":
+                self.left.set()
+            return False
+        conn.sendall(bare_http.whole(200, [("Keep-Alive", "timeout=9")], b"body"))
+        return True
+
+
+@pytest.fixture
+def server():
+    found = Server()
+    yield found
+    found.stop()
+
+
+def exchange(connections, server, target, cancellation):
+    return connections.exchange("POST", server.address, target, {}, b"", 60.0, cancellation=cancellation)
+
+
+def test_an_exchange_without_a_head_is_ended_and_may_have_run(server):
+    cancellation, faults = cancellation_module.Cancellation(), []
+
+    def send():
+        with pytest.raises(web.WebFault) as fault:
+            exchange(kept_module.Kept(world.now), server, "/silent", cancellation)
+        faults.append(fault.value)
+
+    sender = threading.Thread(target=send)
+    sender.start()
+    assert server.asked.wait(10)
+    cancellation.cancel()
+    sender.join(10)
+    assert faults[0].sent and server.left.wait(10)
+
+
+@pytest.mark.parametrize("whole_first", [True, False], ids=["after the body", "before its end"])
+def test_a_connection_is_used_again_only_if_it_was_let_go_first(server, whole_first):
+    connections, cancellation = kept_module.Kept(world.now), cancellation_module.Cancellation()
+    reply = exchange(connections, server, "/", cancellation)
+    if whole_first:
+        assert reply.all() == b"body"
+        cancellation.cancel()
+    else:
+        cancellation.cancel()
+        try:
+            reply.all()  # what has come already may still be read
+        except web.WebFault:
+            reply.close()
+    assert exchange(connections, server, "/", None).all() == b"body"
+    assert (connections.reused, connections.made) == ((1, 1) if whole_first else (0, 2))
+
+
+class Connection:
+    """The front's connection as a caller sees it."""
+
+    arrived, left_at, caller = 3.0, None, None
+
+    def __init__(self, sock):
+        self.socket = sock
+
+
+@pytest.mark.parametrize("sent", [b"", b"more than was asked"])
+def test_a_caller_that_closed_has_left_whatever_it_sent_before(pair, sent):
+    found = caller.Caller(Connection(pair[0]))
+    pair[1].sendall(sent)
+    assert not found.has_left()
+    pair[1].close()
+    assert found.has_left()
+
+
+def test_a_caller_that_reset_its_connection_has_left():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        far = socket.create_connection(listener.getsockname())
+        near = listener.accept()[0]
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        far.close()
+        with near:
+            assert caller.Caller(Connection(near)).has_left()
+
+
+def test_a_request_read_after_its_caller_left_is_cancelled_from_the_start(pair):
+    connection = Connection(pair[0])
+    connection.left_at = 5.0
+    found = caller.Caller(connection)
+    assert found.has_left() and found.cancellation.cancelled and found.left_at() == 5.0
+    assert connection.caller is found
+
+
+def test_a_request_without_a_connection_has_a_caller_that_stays():
+    found = caller.Caller()
+    found.shut_after(1.0)
+    assert not found.has_left() and found.left_at() is None
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -94,7 +94,7 @@
             closed.set()
 
     def app(environ, start):
-        environ["mothshed.line"].until(world.now() + 0.5)
+        environ["mothshed.caller"].shut_after(world.now() + 0.5)
         start("200 OK", [("Content-Type", "text/plain")])
         return Endless()
 
--- a/tools/simulator/network.py
+++ b/tools/simulator/network.py
@@ -171,6 +171,7 @@
         connect=constants.CONNECT_TIME,
         read=constants.STREAM_QUIET,
         ready=lambda: True,
+        cancellation=None,  # callers of a simulated router are not watched
     ):
         net, loop, own = self.net, self.net.loop, self.machine
         address, path = url.removeprefix("http://").split("/", 1)
