A process without any list of replicas asks for it again at once, not after a whole interval

Until a first list is here it is asked for every 0.15 s, inside the system only; the platform's list is read no more often. Test: tests/test_first_list.py (fails before).

--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -86,6 +86,7 @@
 HINTS_MOST = 64  # hints in one record; bounds its size.
 LIST_BEAT = 0.5  # s; the platform list is read this often (brief: 3 s to obey).
 LIST_ASK = 0.7  # s; a process asks the list's reader this often; its news comes unasked as well.
+LIST_ASK_FIRST = 0.15  # s; the same while it has no list at all: two asks find the reader by way of any keeper.
 LIST_SILENT = 1.9  # s; a reading older than this is not waited for: the list is read by oneself.
 LIST_HOLD = 4.0  # s; news goes to those that asked no longer ago.
 LIST_CHANGES = 64  # changes of the list kept; who is further behind gets it whole.
--- a/mothshed/common/listed.py
+++ b/mothshed/common/listed.py
@@ -35,7 +35,11 @@
         if self.desk.now() - self.fresh_at > self.silent and not self.reading:
             self.reading = True
             self.desk.spawn(self.read_list)
-        self.desk.beat(self.ask_span * (0.9 + 0.2 * self.desk.random.random()), self.tick)
+        self.desk.beat(self.next_ask() * (0.9 + 0.2 * self.desk.random.random()), self.tick)
+
+    def next_ask(self) -> float:
+        """Seconds until the reader of the list is asked again: soon while no list is here, since nobody is served."""
+        return self.ask_span if self.rows else min(self.ask_span, constants.LIST_ASK_FIRST)
 
     def on_news(self, sender, body):
         """What changed in the list, from the one that reads it for all."""
--- /dev/null
+++ b/tests/test_first_list.py
@@ -0,0 +1,57 @@
+"""A process that has no list of replicas yet finds the one that reads it for all, without waiting a whole interval."""
+
+import types
+
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.journal as journal
+import mothshed.common.listed as listed
+import tests.all_orders as all_orders
+
+
+class TimedDesk(all_orders.HandDesk):
+    """A desk by hand that notes how long the next beat is to take."""
+
+    def beat(self, delay, call):
+        self.delay = delay
+        return super().beat(delay, call)
+
+
+ROW = {"url": "http://d1", "cell": "a", "service": "s", "labels": {"service": "s"}, "leaving": False}
+
+
+def news(**rows):
+    return {"part": 1, "number": 7, "held": 0, "age": 0.1, "whole": True, "rows": rows, "gone": []}
+
+
+@pytest.fixture
+def process():
+    pool = all_orders.Pool()
+    desk = TimedDesk(pool, "r:1")
+    found = listed.Listed(desk, "", journal.Journal(), None, lambda: ["dead:1", "b:1", "c:1"])
+    return types.SimpleNamespace(pool=pool, desk=desk, listed=found)
+
+
+def test_it_is_asked_for_soon_until_it_is_here(process):
+    process.listed.tick()
+    assert process.desk.delay <= 1.1 * constants.LIST_ASK_FIRST
+    process.listed.on_news("b:1", news(d1={**ROW, "role": "decode", "slots": 8}))
+    process.listed.tick()
+    assert process.desk.delay >= 0.9 * constants.LIST_ASK
+
+
+def test_a_process_whose_first_keeper_is_dead_has_it_within_half_a_second(process):
+    """Asks go to each keeper in turn; one that follows the reader names it, and that one is asked next."""
+    waited, replicas = 0.0, {"d1": {**ROW, "role": "decode", "slots": 8}}
+    while not process.listed.rows:
+        process.listed.tick()
+        for goal, _sender, kind, _body in process.pool.waiting:
+            if kind == "list_ask" and goal == "b:1":
+                process.listed.leaders.on_look_elsewhere("b:1", {"part": 1, "leader": "c:1"})
+            if kind == "list_ask" and goal == "c:1":
+                process.listed.on_news("c:1", news(**replicas))
+        process.pool.waiting.clear()
+        waited += process.desk.delay
+        process.pool.time += process.desk.delay
+    assert waited <= 0.5
