A voter that stops is let go only by a leader that knows who could take its place

A keeper waits as long as its setting drain_s allows, no longer one second whatever the deployment says.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -124,7 +124,7 @@
         for seat in self.members:
             self.in_part(seat, seat.leave)
         self.desk.pause(2 * constants.HEART_BEAT)
-        until = self.desk.now() + constants.LEAVE_WAIT
+        until = self.desk.now() + self.settings.get("drain_s", constants.LEAVE_WAIT)
         while self.desk.now() < until and not all(seat.released for seat in self.members):
             self.desk.pause(constants.HEART_BEAT)
         return not any(seat.is_leader for seat in self.members)
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -173,13 +173,17 @@
         self.leavers[who] = self.desk.now()
         self.learners.pop(who, None)
         self.change_members()
-        waiting = who in self.members and (self.membership.joint or self.can_spare(who))
+        waiting = who in self.members and (self.membership.joint or not self.knows_newcomers() or self.can_spare(who))
         self.tell(who, "leave_say", finished=not waiting)
 
+    def knows_newcomers(self) -> bool:
+        """Whether this leader has led for long enough to have heard of every member that asks to join."""
+        return self.ready and self.desk.now() - self.won_at >= constants.JOIN_KNOWN
+
     def can_spare(self, who):
         """Whether a change that lets this voter go is to be expected."""
         newcomers = [learner for learner in self.learners if learner not in self.members]
-        return self.ready and (bool(newcomers) or len(self.membership.voters) > self.bounds.smallest)
+        return bool(newcomers) or len(self.membership.voters) > self.bounds.smallest
 
     def on_leave_say(self, sender, body):
         if self.leaving and body["finished"]:
--- a/tests/test_bad_replica_answers.py
+++ b/tests/test_bad_replica_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+import mothshed.common.caller as caller
 import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.verdict as verdict
 
@@ -73,7 +74,7 @@
 )
 def test_a_handle_that_is_missing_or_foreign_is_not_taken(spoil):
     said = {"id": "cmpl-a1", "kv_transfer_params": copy.deepcopy(HANDLE)}
-    request = types.SimpleNamespace(id="a1", body={}, path="/v1/completions")
+    request = types.SimpleNamespace(id="a1", body={}, path="/v1/completions", caller=caller.Caller())
     place = types.SimpleNamespace(name="r", url="http://r", engine="e")
     web = types.SimpleNamespace(send=lambda *a, **k: types.SimpleNamespace(status=200, body=lambda: said))
     desk = types.SimpleNamespace(now=lambda: 0.0, web=web)
