--- a/mothshed/common/constants.py
+++ b/mothshed/common/constants.py
@@ -33,7 +33,7 @@
 LEAVE_WAIT = 1.0  # s; a voter that stops waits this long at most to be let go or replaced, where no setting says more.
 LEAVE_LIFE = 10.0  # s; a voter's word that it leaves counts for no longer; by then it has stopped or starts anew.
 PARTS = 4  # parts; part 0 is configuration, services hash over the rest.
-DISK_RETRY = 0.5  # s; a disk that failed is tried this often; then the keeper starts anew.
+DISK_RETRY = 0.1  # s; a disk that failed is tried this often, with one byte; then the keeper starts anew.
 COMMIT_WAIT = 3.0  # s; longest wait for a call in another mailbox, such as a hand-over.
 OPERATOR_WAIT = 0.8  # s; an operator's call unresolved by then is answered: callers leave after 1 s of silence.
 
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -39,6 +39,7 @@
         self.desk, self.settings, self.disk = desk, settings, disk
         self.ended = lambda: None  # told when this process should start anew
         self.waiting = False
+        self.restarting = False  # this process ends only to start anew, with its disk and its votes
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
         self.who = incarnation(disk, settings["name"], chance)
@@ -98,6 +99,7 @@
                 self.disk.put("probe", b".")
             except disk_module.DiskFault:
                 continue
+            self.restarting = True
             self.ended()
             return
 
@@ -120,7 +122,15 @@
         return box[0] if gate.wait(constants.COMMIT_WAIT) else None
 
     def drain(self):
-        """Hands every led part to a successor and leaves the groups; True if all were taken over."""
+        """Hands every led part to a successor and leaves the groups; True if all were taken over.
+
+        A process that only starts anew leaves no group, and is back before anybody could take its place.
+        """
+        if self.restarting:
+            for seat in self.members:
+                seat.desk.post(seat.hand_over)
+            self.desk.pause(2 * constants.HEART_BEAT)
+            return True
         for seat in self.members:
             self.in_part(seat, seat.leave)
         self.desk.pause(2 * constants.HEART_BEAT)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -171,6 +171,22 @@
     assert log == ["pause"] * 4 + ["ended"]
 
 
+def test_a_keeper_that_starts_anew_hands_over_at_once_and_leaves_no_group():
+    """Its disk and its votes are back in a moment: nobody is asked to take its place, and nothing is waited for."""
+    log = []
+    seats = [
+        types.SimpleNamespace(
+            desk=types.SimpleNamespace(post=lambda call: call()),
+            hand_over=lambda part=part: log.append(part),
+            leave=lambda: log.append("left"),
+        )
+        for part in range(2)
+    ]
+    desk = types.SimpleNamespace(pause=lambda span: log.append(span))
+    assert keeper.Keeper.drain(types.SimpleNamespace(restarting=True, members=seats, desk=desk))
+    assert log == [0, 1, 2 * constants.HEART_BEAT]
+
+
 def test_a_member_that_cannot_write_stops_and_says_so_once():
     told, pool = [], all_orders.Pool()
     seat = member.Member(
