--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -5,15 +5,17 @@
 chunk: the user agent sees it broken.
 """
 
+import collections.abc
 import json
 import select
-import socket
 import threading
 import time
+import typing
 
 import cheroot.wsgi
 
 import mothshed.common.caller as caller
+import mothshed.common.cancellation as cancellation
 import mothshed.common.chunked as chunked
 import mothshed.common.constants as constants
 import mothshed.common.headers as headers
@@ -41,24 +43,41 @@
 }
 
 
-def line(status):
+Environ = dict[str, typing.Any]  # WSGI's
+StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's
+HeaderRows = collections.abc.Iterable[tuple[str, str]]
+
+
+def line(status: int) -> str:
+    """The status as WSGI wants it: number and reason."""
     return f"{status} {STATUS[status]}"
 
 
-def respond(start, status, body, headers=()):
+def respond(start: StartResponse, status: int, body: typing.Any, headers: HeaderRows = ()) -> list[bytes]:
+    """A whole response: bytes as text, anything else as JSON."""
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
     kind = "text/plain" if isinstance(body, bytes) else "application/json"
     start(line(status), [("Content-Type", kind), ("Content-Length", str(len(data))), *headers])
     return [data]
 
 
-def fault(start, status, reason, verdict="not_run", retry=0, headers=(), **more):
+def fault(
+    start: StartResponse,
+    status: int,
+    reason: str,
+    verdict: str = "not_run",
+    retry: float = 0,
+    headers: HeaderRows = (),
+    **more: typing.Any,
+) -> list[bytes]:
+    """A failure as JSON. retry: seconds after which to come back, told in Retry-After if it is not 0."""
     headers = list(headers) + ([("Retry-After", str(retry))] if retry else [])
     error = {"message": reason, "verdict": verdict, **more}
     return respond(start, status, {"error": error}, headers)
 
 
-def headers_of(environ):
+def headers_of(environ: Environ) -> dict[str, str]:
+    """The request's headers by lower-case name."""
     return {k[5:].replace("_", "-").lower(): v for k, v in environ.items() if k.startswith("HTTP_")}
 
 
@@ -80,7 +99,7 @@
     status, reason = 413, "the body is too long"
 
 
-def body_of(environ, most=constants.BODY_MOST):
+def body_of(environ: Environ, most: int = constants.BODY_MOST) -> bytes:
     """The whole body, at most so many bytes; raises BadBody."""
     size = environ.get("CONTENT_LENGTH")
     if size:
@@ -102,7 +121,10 @@
 
 
 class Gateway(cheroot.wsgi.Gateway_10):
-    def get_environ(self):
+    """The library's gateway, which also hands an application its caller and the headers as they came."""
+
+    def get_environ(self) -> Environ:
+        """WSGI's environment with `mothshed.caller` (Caller) and `mothshed.headers` (name -> text)."""
         raw = {k.decode("latin-1"): v.decode("latin-1") for k, v in self.req.inheaders.items()}
         return {**super().get_environ(), "mothshed.caller": caller.Caller(self.req.conn), "mothshed.headers": raw}
 
@@ -116,7 +138,7 @@
     started as they are needed: `threads` is how many there may be.
     """
 
-    def __init__(self, address, app, threads):
+    def __init__(self, address: str, app: typing.Any, threads: int) -> None:
         host, port = address.rsplit(":", 1)
         super().__init__(
             (host, int(port)),
@@ -134,20 +156,22 @@
         self.watched = set()
         threading.Thread(target=self.watch, name="lines", daemon=True).start()
 
-    def prepare(self):
+    def prepare(self) -> None:
+        """Listen; idle connections are kept by our own limits from then on."""
         super().prepare()
         self._connections._selector.close()
         self._connections = idle.IdleConnections(self)
 
-    def limit_idle(self, seconds):
+    def limit_idle(self, seconds: float) -> None:
         """How long an idle connection may rest from now on; a longer limit before it runs out first."""
         self.idle_limit.change(seconds, world.now())
 
-    def exchanging(self):
+    def exchanging(self) -> bool:
         """Whether a request is arriving, being served, or its answer not wholly written."""
         return any(conn.socket.fileno() >= 0 for conn in list(self.watched))
 
-    def process_conn(self, conn):
+    def process_conn(self, conn: typing.Any) -> None:
+        """Give a connection that says something to a thread; one just accepted waits until it does."""
         if not hasattr(conn, "arrived"):  # just accepted
             conn.arrived = conn.due = conn.left_at = conn.caller = None
             self.put_conn(conn)
@@ -157,28 +181,38 @@
         self.watched.add(conn)
         super().process_conn(conn)
 
-    def put_conn(self, conn):
+    def put_conn(self, conn: typing.Any) -> None:
+        """Take a connection back whose exchange is over: it rests until its caller says something more."""
         conn.due = None
         self.watched.discard(conn)
         super().put_conn(conn)
 
-    def watch(self):
+    def watch(self) -> None:
+        """Look over the connections in use while the process lives; what fails once is noted and tried again."""
         while True:
             time.sleep(constants.LINE_BEAT)
-            if self.ready and self.requests.idle < constants.FRONT_SPARE:
-                self.requests.grow(constants.FRONT_STEP)
-            now, crowded = world.now(), not self.requests.idle
-            self.look_for_those_who_left(now)
-            for conn in list(self.watched):
-                due = conn.arrived + constants.READ_CROWDED if crowded and conn.reading else conn.due
-                if conn.socket.fileno() < 0:
-                    self.watched.discard(conn)
-                elif due is not None and now > due:
-                    self.watched.discard(conn)
-                    try:
-                        conn.socket.shutdown(socket.SHUT_RDWR)
-                    except OSError:
-                        pass
+            try:
+                self.start_threads()
+                self.look_for_those_who_left(world.now())
+                self.shut_overdue(world.now())
+            except Exception as error:
+                ring.trouble("watch_failed", error)
+
+    def start_threads(self) -> None:
+        """Start some more threads while few are idle; the library keeps to the most there may be."""
+        if self.ready and self.requests.idle < constants.FRONT_SPARE:
+            self.requests.grow(constants.FRONT_STEP)
+
+    def shut_overdue(self, now: float) -> None:
+        """Shut connections whose request does not come, or whose answer is not taken, in time."""
+        crowded = not self.requests.idle
+        for conn in list(self.watched):
+            due = conn.arrived + constants.READ_CROWDED if crowded and conn.reading else conn.due
+            if conn.socket.fileno() < 0:
+                self.watched.discard(conn)
+            elif due is not None and now > due:
+                self.watched.discard(conn)
+                cancellation.shut_down(conn.socket)
 
     def look_for_those_who_left(self, now: float) -> None:
         """Cancel what is under way for callers that have hung up; one look at all connections."""
@@ -194,5 +228,6 @@
             if conn.caller:
                 conn.caller.cancellation.cancel()
 
-    def error_log(self, msg="", level=20, traceback=False):
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Keep what the library says of its troubles in the ring."""
         ring.note("http_server", message=msg)
--- a/mothshed/common/ring.py
+++ b/mothshed/common/ring.py
@@ -2,9 +2,9 @@
 
 In ordinary running only rare changes of state are written as they happen (`report`): who leads
 a part, who votes in it, when leases were missing, what a process had counted. All else stays in
-memory. `trouble` records a failure and
-writes the whole ring, as JSON lines, to the place named at start (a folder file
-or standard error), at most once in a few seconds so that a storm stays readable.
+memory. `trouble` records a failure and writes the whole ring, as JSON lines, to the place
+named at start (a file or standard error), at most once in a few seconds so that a storm
+stays readable.
 The events of the process's journal that were not written before go out with it.
 Their moments count since boot; a message before them, `journal_written`, bears such
 a moment (`at`) beside the log library's own, and by it `mothshed logs` sets them in.
@@ -16,6 +16,7 @@
 import threading
 import time
 import traceback
+import typing
 
 import eliot
 
@@ -52,7 +53,7 @@
 ALLOWANCE = Allowance(constants.REPORT_MOST, constants.REPORT_RATE)
 
 
-def keep(message):
+def keep(message: dict[str, typing.Any]) -> None:
     """Take a message of the log library: into memory, or out at once if it is a report within the allowance."""
     if not message.pop("report", False):
         ROWS.append(message)
@@ -65,19 +66,21 @@
         ROWS.append(message)
 
 
-def start(name, path=None):
+def start(name: str, path: str | None = None) -> None:
+    """Name the process in its log lines, and write them to this file from now on; standard error without one."""
     STATE.update(name=name, path=path)
     if not STATE["on"]:
         STATE["on"] = True
         eliot.add_destinations(keep)
 
 
-def hold(journal):
+def hold(journal: typing.Any) -> None:
     """The journal's events are written out with the ring from now on."""
     JOURNALS.append(journal)
 
 
-def note(kind, **fields):
+def note(kind: str, **fields: typing.Any) -> None:
+    """Keep a message in memory."""
     eliot.log_message(message_type=kind, **fields)
 
 
@@ -86,7 +89,8 @@
     note(kind, report=True, **fields)
 
 
-def trouble(kind, error=None, **fields):
+def trouble(kind: str, error: BaseException | None = None, **fields: typing.Any) -> None:
+    """Keep a failure, and write all that is in memory unless that was done in the last seconds."""
     if error is not None:
         fields["error"] = "".join(traceback.format_exception(error))
     note(kind, trouble=True, **fields)
@@ -97,7 +101,8 @@
             write()
 
 
-def write():
+def write() -> None:
+    """Write and forget all that is in memory, with the journals' events that were not written before."""
     events = [{"message_type": kind, **event} for journal in JOURNALS for kind, event in journal.fresh()]
     if events:
         note("journal_written", at=JOURNALS[0].now(), events=len(events))
@@ -114,7 +119,7 @@
 def put_out(text: str) -> None:
     """Append lines to the ring's file, or to standard error."""
     if STATE["path"]:
-        with open(STATE["path"], "a") as f:
-            f.write(text)
+        with open(STATE["path"], "a") as file:
+            file.write(text)
     else:
         sys.stderr.write(text)
