--- a/mothshed/common/lease.py
+++ b/mothshed/common/lease.py
@@ -85,7 +85,7 @@
         if self.staged > body["active"]:
             length = min(length, constants.LEASE_SHORT)
         self.activate(body["active"])
-        if self.active == body["active"]:
+        if self.active == body["active"] and length > 0:  # a grant of no length says only who leads
             self.note_gap(asked + length)
             self.until = max(self.until, asked + length)
         if 0 < length <= constants.LEASE_SHORT:
--- a/tests/test_lease_restart.py
+++ b/tests/test_lease_restart.py
@@ -13,12 +13,12 @@
     return lease_module.Lease(all_orders.HandDesk(pool, ADDRESS, life), lambda: [KEEPER])
 
 
-def grant(ask):
+def grant(ask, length=constants.LEASE_LONG):
     """The grant that answers an ask, as a leader would send it."""
     return {
         "part": 0,
         "mark": ask["mark"],
-        "length": constants.LEASE_LONG,
+        "length": length,
         "number": 1,
         "active": 3,
         "docs": [[3, {"n": 3}]],
@@ -45,3 +45,22 @@
     assert after.sequence() is None
     pool.ears[ADDRESS][("grant", 0)](KEEPER, grant(ask(pool, after)))
     assert after.sequence() == 3
+
+
+def test_the_whole_time_without_a_lease_is_reported(monkeypatch):
+    """A new leader answers with grants of no length for a while: they end no such time and shorten none."""
+    pool, reported = all_orders.Pool(), []
+    monkeypatch.setattr(
+        lease_module.ring, "report", lambda kind, **fields: reported.append((kind, fields["missing_s"]))
+    )
+    lease = start(pool, "one life")
+    receive = pool.ears[ADDRESS][("grant", 0)]
+    pool.time += 0.5
+    receive(KEEPER, grant(ask(pool, lease)))
+    pool.time += constants.LEASE_LONG + 1.0
+    for _ in range(4):
+        receive(KEEPER, grant(ask(pool, lease), 0.0))
+        assert lease.sequence() is None
+        pool.time += 0.25
+    receive(KEEPER, grant(ask(pool, lease)))
+    assert lease.sequence() == 3 and reported == [("lease_back", 0.5), ("lease_back", 2.0)]
