--- a/mothshed/common/listed.py
+++ b/mothshed/common/listed.py
@@ -95,7 +95,7 @@
             for name, row in self.rows.items():
                 if name in leaving or self.doubts.get(name, 0) > now or role and row["role"] != role:
                     continue
-                if all(row["labels"].get(k) == v for k, v in selector.items()):
+                if replicas.selects(selector, row["labels"]):
                     found[name] = self.conditions[name]["c"]
         return found
 
--- a/mothshed/common/replicas.py
+++ b/mothshed/common/replicas.py
@@ -29,6 +29,15 @@
     cell: str
 
 
+def selects(selector: dict[str, str], labels: dict[str, str]) -> bool:
+    """Whether a pool's selector fits a replica's labels.
+
+    >>> selects({"service": "a"}, {"service": "a", "zone": "z"}), selects({"service": "a"}, {"service": "b"})
+    (True, False)
+    """
+    return all(labels.get(key) == value for key, value in selector.items())
+
+
 class Replicas:
     def __init__(self, desk, list_url, journal):
         self.desk, self.list_url, self.journal = desk, list_url, journal
@@ -152,7 +161,7 @@
                     and seen["c"]["role"] != role
                 ):
                     continue
-                if all(row["labels"].get(k) == v for k, v in selector.items()):
+                if selects(selector, row["labels"]):
                     found[name] = seen["c"]
             return found
 
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -12,6 +12,7 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.replica_adapter as replica_adapter
+import mothshed.common.replicas as replicas_module
 import mothshed.common.web as web
 import mothshed.control_plane.parts as parts
 import mothshed.control_plane.service_part as service_part
@@ -22,15 +23,6 @@
     return condition["run"], condition["wait"], condition["slots"]
 
 
-def selects(selector: dict[str, str], labels: dict[str, str]) -> bool:
-    """Whether a pool's selector fits a replica's labels.
-
-    >>> selects({"service": "a"}, {"service": "a", "zone": "z"}), selects({"service": "a"}, {"service": "b"})
-    (True, False)
-    """
-    return all(labels.get(key) == value for key, value in selector.items())
-
-
 class OrderDuty:
     def __init__(self, member, replicas, lease, journal, speech=None, tenure=None):
         self.order_role = speech.order_role if speech else replica_adapter.order_role
@@ -145,7 +137,7 @@
         row = self.replicas.rows.get(name)
         if sequence is None or document is None or row is None or self.machine.roles.get(name) != role:
             return False
-        return any(selects(pool["selector"], row["labels"]) for pool in document["pools"].values())
+        return any(replicas_module.selects(pool["selector"], row["labels"]) for pool in document["pools"].values())
 
     def send(self, name, url, role, standing):
         good = False
