--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -41,6 +41,14 @@
     return site.service(legs, deadline_ms=LONG_MS, target_ms=LONG_MS, **more)
 
 
+def leave_while_it_is_silent(site, caller, replica):
+    """The caller leaves once the request is at the replica; returns when the replica saw its connection end."""
+    platform_site.until(lambda: replica.asked)
+    caller.leave()
+    platform_site.until(lambda: replica.left == 1, SPAN)
+    ended(site)
+
+
 def ended(site):
     platform_site.until(lambda: site.router.flight == 0, SPAN)
 
@@ -49,11 +57,7 @@
 def test_who_leaves_during_the_prefill_gets_no_decode(site, surplus):
     host, (reader, writer) = service(site, "pd")
     reader.always = {"silent": True}
-    caller = Caller(site, host, surplus=surplus)
-    platform_site.until(lambda: reader.asked)
-    caller.leave()
-    platform_site.until(lambda: reader.left == 1, SPAN)
-    ended(site)
+    leave_while_it_is_silent(site, Caller(site, host, surplus=surplus), reader)
     assert platform_site.asked([writer]) == 0 and len(reader.asked) == 1
 
 
@@ -87,20 +91,13 @@
 def test_who_leaves_while_the_answer_is_gathered_ends_the_run(site):
     host, (writer,) = service(site, "d", engine=False, kind="repeatable", facts={"events": 0})
     writer.always = {"silent": True}
-    caller = Caller(site, host, prompt=False)
-    platform_site.until(lambda: writer.asked)
-    caller.leave()
-    platform_site.until(lambda: writer.left == 1, SPAN)
-    ended(site)
+    leave_while_it_is_silent(site, Caller(site, host, prompt=False), writer)
 
 
 def test_a_replica_is_not_blamed_for_a_caller_that_left(site):
     host, (reader, writer) = service(site, "pd")
     writer.always = {"silent": True}
-    caller = Caller(site, host)
-    platform_site.until(lambda: writer.asked)
-    caller.leave()
-    ended(site)
+    leave_while_it_is_silent(site, Caller(site, host), writer)
     assert writer.name not in site.router.replicas.fails and writer.name not in site.router.replicas.doubts
 
 
@@ -114,7 +111,6 @@
             looked.append(True)
             caller.leave()
             return None
-        platform_site.until(lambda: True)
         return pair(*given)
 
     monkeypatch.setattr(site.router.placing, "pair", after_the_caller_left)
