A pool without a split: no roles, no orders, requests placed within known slots

Cause: a service without a model (no engine on the platform) was a pool like any other to the order duty.

A pool now says whether its replicas have roles (split, true by default; the platform's adapter sets it from 'engine'). The order duty and the last check of an order pass over the others. What held for engines was sought: the placing role, the search for another reader (it looked at readers of any pool), and the bound on known slots, which only prompts had.

Ruled out: replicas' health, routes and leases (the same routers serve the model pool).

--- a/mothshed/common/configuration.py
+++ b/mothshed/common/configuration.py
@@ -1,7 +1,7 @@
 """The operators' configuration document: its shape and its checking.
 
 A document is whole: it names the model, the kinds of request, the tenants, the
-pools (selectors over replica labels, with split bounds) and the pairings (which
+pools (selectors over replica labels, with split bounds, or without a split) and the pairings (which
 requests go to which pool under which policy). It may also name routes: requests of a
 host and a prefix that are delivered as they come, each with its kind (safe or unsafe to
 repeat, or a stream), cutoff, aim, tries and pools by share; `limits` bounds what user
@@ -29,6 +29,7 @@
     voluptuous.Optional("least_prefill", default=1): WHOLE,
     voluptuous.Optional("least_decode", default=1): WHOLE,
     voluptuous.Optional("shift", default=True): bool,
+    voluptuous.Optional("split", default=True): bool,
     voluptuous.Optional("prefill_share", default=0.4): voluptuous.All(
         voluptuous.Any(int, float), voluptuous.Range(min=0, max=1)
     ),
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -11,6 +11,7 @@
 import collections
 
 import mothshed.common.constants as constants
+import mothshed.common.pools as pools
 import mothshed.common.replica_adapter as replica_adapter
 import mothshed.common.replicas as replicas_module
 import mothshed.common.web as web
@@ -92,6 +93,8 @@
     def look(self, document):
         wanted = {}
         for name, pool in sorted(document["pools"].items()):
+            if not pools.has_split(pool):
+                continue
             found, rest, rank = self.shared(pool["selector"])
             found = {n: c for n, c in found.items() if n not in wanted}
             split = self.split.setdefault(name, service_part.Split(self.desk.now))
@@ -128,7 +131,7 @@
         self.desk.spawn(lambda: self.send(name, row["url"], role, standing))
 
     def still_wanted(self, name: str, role: str) -> bool:
-        """Whether a lease runs under which the replica belongs to a pool, and the part still gives it this role.
+        """Whether a lease runs under which a pool with a split has the replica, and the part gives it this role.
 
         The role is agreed in the part's own log: a change of the configuration that leaves the replica in a
         pool does not make its order wrong, however many such changes come while it is prepared.
@@ -137,7 +140,10 @@
         row = self.replicas.rows.get(name)
         if sequence is None or document is None or row is None or self.machine.roles.get(name) != role:
             return False
-        return any(replicas_module.selects(pool["selector"], row["labels"]) for pool in document["pools"].values())
+        return any(
+            pools.has_split(pool) and replicas_module.selects(pool["selector"], row["labels"])
+            for pool in document["pools"].values()
+        )
 
     def send(self, name, url, role, standing):
         good = False
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -92,10 +92,8 @@
             self.give_in("retry budget is spent")
 
     def reader_left(self):
-        row = (self.router.lease.document() or {"pools": {}})["pools"]
-        return any(
-            n not in self.without for p in row.values() for n in self.router.replicas.usable(p["selector"], "prefill")
-        )
+        """Whether a replica of the request's own pool, none of those it was turned away by, reads prompts."""
+        return any(name not in self.without for name in self.router.replicas.usable(self.selector, "prefill"))
 
     def judge(self, e, place):
         """What a failure says of the replica: silence alone says nothing, it may only be busy."""
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -14,6 +14,7 @@
 import threading
 
 import mothshed.common.constants as constants
+import mothshed.common.pools as pools
 
 
 @dataclasses.dataclass
@@ -141,10 +142,11 @@
         return min(rows)[1:]
 
     def writer(self, names, cell):
-        """The one with the least running; among about equals one in the cell."""
-        run = {n: self.known(n, 0) for n in names}
+        """The one with the least running; among about equals one in the cell, and none without a free slot."""
+        free = [n for n in names if self.has_free_slot(n)]
+        run = {n: self.known(n, 0) for n in free or names}
         few = min(run.values())
-        near = [n for n in names if run[n] <= few + 1 + few // 4]
+        near = [n for n in run if run[n] <= few + 1 + few // 4]
         return min(near, key=lambda n: (self.far(n, cell), run[n], self.desk.random.random()))
 
     def alone(self, names, ask):
@@ -171,10 +173,18 @@
         """s until what goes before a reading of this rank is read at a replica."""
         return sum(self.queued(name)[: rank + 1]) / pace
 
+    def has_free_slot(self, name):
+        """Whether fewer requests are known to be at a replica than it has slots."""
+        return self.known(name, 0) < self.replicas.rows[name]["slots"]
+
+    def require_free_slot(self, names):
+        """Raises Full if every one of these replicas is known to have all its slots taken."""
+        if not any(self.has_free_slot(name) for name in names):
+            raise Full(constants.BOUNCE_LEAST)
+
     def admit(self, ask, name, pace, unread, writers):
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
-        if all(self.known(n, 0) >= self.replicas.rows[n]["slots"] for n in writers):
-            raise Full(constants.BOUNCE_LEAST)
+        self.require_free_slot(writers)
         wait = self.wait(name, pace, self.rank(ask, unread / pace))
         most = constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
         if wait > most:
@@ -183,15 +193,15 @@
     def pair(self, sequence, document, pool, ask, without=(), alone=False):
         """A Pair with both places taken, or None. alone: without a reader."""
         row = document["pools"][pool]
-        engine = "engine" in row
         with self.lock, self.replicas.lock:
-            writers = self.replicas.usable(row["selector"], "decode" if engine else None)
+            writers = self.replicas.usable(row["selector"], pools.serving_role(row))
             if not writers:
                 return None
             writers = [n for n in writers if n not in without] or list(writers)
-            readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
-            if not engine or not ask.tokens:  # nothing to read ahead
+            if not pools.has_split(row) or not ask.tokens:  # nothing to read ahead
+                self.require_free_slot(writers)
                 return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
+            readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
             lone, time = self.alone(writers, ask)
             if alone or not readers:
                 if not alone:
@@ -211,7 +221,7 @@
         if row is None:
             return
         with self.lock, self.replicas.lock:
-            writers = self.replicas.usable(row["selector"], "decode" if "engine" in row else None)
+            writers = self.replicas.usable(row["selector"], pools.serving_role(row))
             writers = [n for n in writers if n not in without] or list(writers)
             if not writers:
                 return
--- /dev/null
+++ b/tests/test_service_without_model.py
@@ -0,0 +1,153 @@
+"""A service without a model beside one with a model: who gets roles, orders and notices, and who does not."""
+
+import pytest
+
+import mothshed.common.journal as journal
+import mothshed.common.listed as listed
+import tests.order_group as order_group
+import tests.platform_site as platform_site
+
+DOCUMENT = {
+    "pools": {
+        "models": {
+            "selector": {"service": "models"},
+            "engine": {},
+            "least_prefill": 1,
+            "least_decode": 1,
+            "prefill_share": 0.4,
+            "shift": True,
+        },
+        "slips": {
+            "selector": {"service": "slips"},
+            "split": False,
+            "least_prefill": 1,
+            "least_decode": 1,
+            "prefill_share": 0.4,
+            "shift": True,
+        },
+    }
+}
+
+
+def row(service, role):
+    return {
+        "url": "http://r:1",
+        "cell": "a",
+        "service": service,
+        "labels": {"service": service},
+        "leaving": False,
+        "role": role,
+        "slots": 4,
+    }
+
+
+class Speech(platform_site.replica_speech.Speech):
+    """Takes every order and remembers it."""
+
+    def __init__(self):
+        self.ordered = []
+
+    def order_role(self, desk, url, role, standing, holder, sequence, ready=lambda: True):
+        """An order that arrives if its last check allows it."""
+        if ready():
+            self.ordered.append(role)
+        return True
+
+
+@pytest.fixture
+def holder(monkeypatch):
+    """The holder of the part that has both services, with five replicas of each, past its turn gap."""
+    monkeypatch.setattr(order_group.orders.parts, "part_of", lambda service: 1)
+    group = order_group.Group(3.0)
+    group.lead("A")
+    group.pool.time += 3.3
+    group.seats["A"].renew()
+    duty, seat = group.duties["A"], group.seats["A"]
+    speech = Speech()
+    found = listed.Listed(seat.desk, "", journal.Journal(), None, lambda: [])
+    found.take_list({f"{s}{n}": row(s, "none") for s in ("models", "slips") for n in range(5)})
+    duty.replicas, duty.journal, duty.gives_roles, duty.says_standing = found, journal.Journal(), True, False
+    duty.order_role, duty.speech = speech.order_role, speech
+    duty.lease.pools = DOCUMENT["pools"]
+    duty.desk.spawn = lambda call: call()
+    return duty
+
+
+def test_no_split_is_planned_and_no_order_sent_for_a_service_without_a_model(holder):
+    holder.look(DOCUMENT)  # agrees on roles
+    assert sorted(holder.machine.roles) == [f"models{n}" for n in range(5)]
+    holder.look(DOCUMENT)  # sends what is missing
+    assert sorted(holder.speech.ordered) == ["decode"] * 3 + ["prefill"] * 2
+
+
+def test_an_order_that_was_agreed_while_a_service_had_a_model_is_not_sent_once_it_has_none(holder):
+    with_model = {**DOCUMENT["pools"]["slips"], "split": True}
+    holder.lease.pools = {**DOCUMENT["pools"], "slips": with_model}
+    holder.look({"pools": holder.lease.pools})
+    assert "slips0" in holder.machine.roles and holder.still_wanted("slips0", holder.machine.roles["slips0"])
+    holder.lease.pools = DOCUMENT["pools"]
+    assert not holder.still_wanted("slips0", holder.machine.roles["slips0"])
+    assert holder.still_wanted("models0", holder.machine.roles["models0"])
+
+
+@pytest.mark.parametrize("engine", [True, False])
+def test_the_platforms_document_says_which_services_have_a_split(engine):
+    depot = platform_site.depot("one", engine)
+    document = platform_site.operator_front.document_of({"itineraries": [], "depots": [depot]})
+    assert document["pools"]["one"]["split"] is engine
+
+
+@pytest.fixture(scope="module")
+def site():
+    found = platform_site.Site()
+    yield found
+    found.stop()
+
+
+def slips(site, count=2, **route):
+    """Host and replicas of a service without a model, beside one with readers and writers."""
+    site.service("pd")
+    facts = {"events": 0, "body": b"slip"}
+    rows = [platform_site.stand_in.Replica(site.platform, "slips", "none", **facts) for _ in range(count)]
+    name = f"slips{len(site.platform.replicas)}"
+    for replica in rows:
+        replica.depot = name
+    site.made.append(rows)
+    site.lease.change(
+        [platform_site.route(f"r-{name}", f"{name}.example", name, **{"kind": "once_only", "tries": 2, **route})],
+        [platform_site.depot(name, False)],
+    )
+    platform_site.until(lambda: all(r.name in site.router.replicas.rows for r in rows))
+    return f"{name}.example", rows
+
+
+def test_a_whole_request_is_served_without_a_prefill(site):
+    host, replicas = slips(site)
+    own, answer = site.ask(host, prompt=False)
+    assert answer.status == 200 and answer.body == b"slip"
+    assert len(site.platform.ran(own)) == 1
+    assert all(request.get("Leg") == "" for replica in replicas for request in replica.asked)
+
+
+@pytest.mark.parametrize("fault", [{"close": True}, {"stamp": False}, {"break": 0}, {"own": 500}])
+def test_a_once_only_request_never_runs_twice_at_a_service_without_a_model(site, fault):
+    host, replicas = slips(site)
+    platform_site.let(replicas, fault)
+    own, answer = site.ask(host, prompt=False)
+    assert platform_site.asked(replicas) == 1 and answer.status >= 500 and answer.status != 503
+
+
+def test_a_once_only_request_that_was_turned_away_with_proof_goes_to_another_replica(site):
+    host, replicas = slips(site)
+    platform_site.let(replicas, {"bounce": 503})
+    own, answer = site.ask(host, prompt=False)
+    assert answer.status == 200 and len(site.platform.ran(own)) == 1
+
+
+def test_a_reader_of_another_service_is_none_for_the_services_own_requests(site):
+    """A request whose only reader failed is read by its writer, whatever other pools have."""
+    host, (reader, writer) = site.service("pd")
+    reader.always = {"close": True}
+    own, answer = site.ask(host)
+    assert answer.status == 200 and len(site.platform.ran(own)) == 1
+    assert len(reader.asked) == 1 and writer.asked[-1].get("Cache-From") == ""
