PATCH /configuration: named items put and removed, on the terms of PUT

The leader reads its newest document once a majority confirmed it, merges, checks the whole and proposes it on the same base: compare-and-set makes one of any racing orders win, whole or by items. Refused as a whole: unknown names to remove, a name put and removed, an item twice, no list, a result that is not valid. Both steps share one OPERATOR_WAIT. The same on our own front and as 'mothshed config change'.

Weighed (docs/configuration.md): merging in the operator's tool, and in each member's machine (then an entry's meaning depends on the release).

--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -10,6 +10,7 @@
 """
 
 import json
+import typing
 
 import mothshed.common.constants as constants
 import mothshed.control_plane.leader_hint as leader_hint
@@ -49,6 +50,10 @@
             return {"low": self.latest}
         return None
 
+    def newest_document(self) -> dict[str, typing.Any] | None:
+        """The newest document that was accepted, or None before the first; the record always holds it."""
+        return self.docs[self.latest]["doc"] if self.latest else None
+
     def stage(self, command):
         known = self.known_result(command)
         if known:
--- a/mothshed/control_plane/confirmed_calls.py
+++ b/mothshed/control_plane/confirmed_calls.py
@@ -38,9 +38,9 @@
         self.result = result
         self.gate.set()
 
-    def wait(self) -> typing.Any:
-        """The result; NotConfirmed if the call was never begun, Unclear if it has not ended."""
-        if not self.gate.wait(constants.OPERATOR_WAIT):
+    def wait(self, span: float) -> typing.Any:
+        """The result within span seconds; NotConfirmed if the call was never begun, Unclear if it has not ended."""
+        if not self.gate.wait(span):
             raise NotConfirmed() if self.claim() else Unclear()
         if isinstance(self.result, Exception):
             raise self.result
@@ -69,6 +69,23 @@
         """What became of a command; raises NotConfirmed or Unclear."""
         return self.run(lambda call: self.begin_write(command, call))
 
+    def change(
+        self, command: dict[str, typing.Any], complete: collections.abc.Callable[[typing.Any], typing.Any]
+    ) -> typing.Any:
+        """What became of a command whose document complete() makes from the newest one.
+
+        Raises NotConfirmed, Unclear, and whatever complete() raises; then nothing was written. The newest
+        document is the one that the command builds on, or the command is known to change nothing; should
+        another one be taken meanwhile, the command's base no longer holds and the write is a conflict.
+        """
+        machine = self.member.machine
+        until = self.member.desk.now() + constants.OPERATOR_WAIT
+        known, newest = self.read(lambda: (machine.known_result(command), machine.newest_document()))
+        if known:
+            return known
+        whole = {**command, "doc": complete(newest)}
+        return self.run(lambda call: self.begin_write(whole, call), max(0.0, until - self.member.desk.now()))
+
     def begin_write(self, command: dict[str, typing.Any], call: PendingCall) -> None:
         """Propose the command, or have its known result confirmed; within the mailbox."""
         machine = self.member.machine
@@ -86,8 +103,10 @@
         for call in self.proposed.pop(order_id):
             call.end(Unclear() if result is None else result)
 
-    def run(self, begin: collections.abc.Callable[[PendingCall], None]) -> typing.Any:
-        """Begin a call within the mailbox while a majority is in touch, and wait for its end."""
+    def run(
+        self, begin: collections.abc.Callable[[PendingCall], None], span: float = constants.OPERATOR_WAIT
+    ) -> typing.Any:
+        """Begin a call within the mailbox while a majority is in touch, and wait span seconds for its end."""
         if not self.member.sure():  # also read here: the mailbox may be held up by its disk
             raise NotConfirmed()
         call = PendingCall(self.mailbox.gate())
@@ -101,4 +120,4 @@
                 call.end(NotConfirmed())
 
         self.member.desk.post(begin_once)
-        return call.wait()
+        return call.wait(span)
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -2,6 +2,8 @@
 
 GET /configuration            the active and the latest document
 PUT /configuration            {"base": sequence, "document": {...}, "by": "...", "id": "..."}
+PATCH /configuration          {"base": sequence, "put": {...}, "remove": {...}, "by": "...", "id": "..."}: changes
+                              named items of the newest document (document_change.py); answered as PUT is
 GET /configuration/history    the accepted documents that are kept, oldest first; with ?id=ID, several if
                               wanted, also `taken`: the sequence that each order was given, or null
 GET /condition, /metrics      this keeper
@@ -20,11 +22,18 @@
 
 import mothshed.common.configuration as configuration
 import mothshed.common.constants as constants
+import mothshed.common.document_change as document_change
 import mothshed.common.front as front
 import mothshed.control_plane.confirmed_calls as confirmed_calls
 import mothshed.control_plane.leader_hint as leader_hint
 
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's start_response
+Environ = dict[str, typing.Any]  # WSGI's environ
+Command = dict[str, typing.Any]  # for the configuration part's log
+Result = dict[str, typing.Any]  # of such a command
+Answer = collections.abc.Callable[[StartResponse, Command, Result], list[bytes]]
+Complete = collections.abc.Callable[[document_change.Document | None], document_change.Document]
+NO_JSON = (ValueError, RecursionError)
 
 
 class KeeperFront:
@@ -36,7 +45,7 @@
     def __call__(self, environ, start):
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         table = {
-            "/configuration": {"GET": self.show, "PUT": self.put},
+            "/configuration": {"GET": self.show, "PUT": self.put, "PATCH": self.patch},
             "/configuration/history": {"GET": self.history},
             "/condition": {"GET": self.condition},
             "/metrics": {"GET": self.metrics},
@@ -110,35 +119,60 @@
         return self.read(environ, start, give)
 
     def put(self, environ, start):
-        data = front.body_of(environ)
         try:
-            body = json.loads(data)
-        except (ValueError, RecursionError) as e:
+            body = json.loads(front.body_of(environ))
+        except NO_JSON as e:
             return front.fault(start, 400, f"body is not JSON: {e}")
-        found = faults(body)
+        found = form_faults(body, {"document"})
+        if isinstance(body, dict):
+            found += [f"document.{f}" for f in configuration.faults(body.get("document"))]
         if found:
-            return front.fault(start, 400, "nothing was applied", faults=found)
+            return not_applied(start, found)
+        command = {**command_of(body), "doc": configuration.full(body["document"])}
+        return self.stage(environ, start, command, answer)
+
+    def patch(self, environ: Environ, start: StartResponse) -> list[bytes]:
+        """Take a change of named items; the newest document with the change in it is agreed on whole."""
+        try:
+            body = json.loads(front.body_of(environ))
+        except NO_JSON as e:
+            return front.fault(start, 400, f"body is not JSON: {e}")
+        found = form_faults(body, {"put", "remove"})
+        if found:
+            return not_applied(start, found)
+        try:
+            change = document_change.read(body.get("put", {}), body.get("remove", {}))
+        except document_change.ChangeFault as e:
+            return not_applied(start, e.faults)
+
+        def complete(newest: document_change.Document | None) -> document_change.Document:
+            return checked(document_change.applied(newest or {}, change))
+
+        return self.stage(environ, start, command_of(body), answer, complete)
+
+    def stage(
+        self,
+        environ: Environ,
+        start: StartResponse,
+        command: Command,
+        answer: Answer,
+        complete: Complete | None = None,
+    ) -> list[bytes]:
+        """Carry out an operator's order if this is the leader. complete: makes its document from the newest one."""
         away = self.elsewhere(environ, start)
         if away:
             return away
-        command = {
-            "op": "stage",
-            "base": body["base"],
-            "doc": configuration.full(body["document"]),
-            "by": body.get("by", ""),
-            "id": body.get("id") or secrets.token_hex(8),
-        }
         try:
-            said = self.calls.write(command)
+            result = self.calls.change(command, complete) if complete else self.calls.write(command)
+        except document_change.ChangeFault as e:
+            return not_applied(start, e.faults)
         except confirmed_calls.NotConfirmed:
             return not_confirmed(start)
         except confirmed_calls.Unclear:
             return unclear(start, command["id"])
-        if "unknown" in said:
+        if "unknown" in result:
             return unclear(start, command["id"])
-        if "conflict" in said:
-            return front.fault(start, 409, f"base {body['base']} is not the latest", current=said["conflict"])
-        return front.respond(start, 200, {"sequence": said["sequence"], "id": command["id"]})
+        return answer(start, command, result)
 
 
 def not_confirmed(start: StartResponse) -> list[bytes]:
@@ -151,15 +185,47 @@
     return front.fault(start, 504, reason, verdict="may_have_run", id=order_id)
 
 
-def faults(body):
+def not_applied(start: StartResponse, faults: list[str]) -> list[bytes]:
+    return front.fault(start, 400, "nothing was applied", faults=faults)
+
+
+def answer(start: StartResponse, command: Command, result: Result) -> list[bytes]:
+    """The answer to an order that was applied, or that the record knows."""
+    if "conflict" in result:
+        return front.fault(start, 409, f"base {command['base']} is not the latest", current=result["conflict"])
+    return front.respond(start, 200, {"sequence": result["sequence"], "id": command["id"]})
+
+
+def checked(document: document_change.Document) -> document_change.Document:
+    """A document made by a change, with its defaults filled in; raises ChangeFault if it is not valid whole."""
+    found = configuration.faults(document)
+    if found:
+        raise document_change.ChangeFault([f"document.{f}" for f in found])
+    document = configuration.full(document)
+    size = len(json.dumps(document))
+    if size > constants.BODY_MOST:
+        raise document_change.ChangeFault([f"document: {size} bytes, more than {constants.BODY_MOST}"])
+    return document
+
+
+def command_of(body: dict[str, typing.Any]) -> Command:
+    """The command that an operator's order stands for, but for its document."""
+    return {
+        "op": "stage",
+        "base": body["base"],
+        "by": body.get("by", ""),
+        "id": body.get("id") or secrets.token_hex(8),
+    }
+
+
+def form_faults(body: typing.Any, words: set[str]) -> list[str]:
+    """What is wrong with an order's form. words: the fields that it may have beside base, by and id."""
     if not isinstance(body, dict):
-        return ["document: expected an object with base and document"]
+        return [f"document: expected an object with base and {' and '.join(sorted(words))}"]
     found = []
     if not isinstance(body.get("base"), int) or isinstance(body.get("base"), bool) or body["base"] < 0:
         found.append("base: expected the sequence this document was made from, 0 for the first")
     for word in ("by", "id"):
         if not isinstance(body.get(word, ""), str):
             found.append(f"{word}: expected text")
-    extra = set(body) - {"base", "document", "by", "id"}
-    found += [f"{word}: unknown" for word in sorted(extra)]
-    return found + [f"document.{f}" for f in configuration.faults(body.get("document"))]
+    return found + [f"{word}: unknown" for word in sorted(set(body) - {"base", "by", "id"} - words)]
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -173,11 +173,11 @@
         """s until what goes before a reading of this rank is read at a replica."""
         return sum(self.queued(name)[: rank + 1]) / pace
 
-    def has_free_slot(self, name):
+    def has_free_slot(self, name: str) -> bool:
         """Whether fewer requests are known to be at a replica than it has slots."""
         return self.known(name, 0) < self.replicas.rows[name]["slots"]
 
-    def require_free_slot(self, names):
+    def require_free_slot(self, names: list[str]) -> None:
         """Raises Full if every one of these replicas is known to have all its slots taken."""
         if not any(self.has_free_slot(name) for name in names):
             raise Full(constants.BOUNCE_LEAST)
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -1,6 +1,7 @@
 """Asking keepers over HTTP on the operator's behalf; follows 307 to the leader."""
 
 import time
+import typing
 import urllib.parse
 
 import urllib3
@@ -48,11 +49,22 @@
 
 
 def apply(keepers, base, document, by, mark):
+    """(exit code, answer) of applying a whole document."""
+    return send_order(keepers, "PUT", {"base": base, "document": document, "by": by, "id": mark})
+
+
+def change(
+    keepers: list[str], base: int, items: dict[str, typing.Any], by: str, mark: str
+) -> tuple[int, dict[str, typing.Any]]:
+    """(exit code, answer) of changing named items. items: `put` and `remove`, as document_change.read takes them."""
+    return send_order(keepers, "PATCH", {**items, "base": base, "by": by, "id": mark})
+
+
+def send_order(keepers: list[str], method: str, body: dict[str, typing.Any]) -> tuple[int, dict[str, typing.Any]]:
     """(exit code, answer). Sending the same id again is safe: it is accepted once."""
-    body = {"base": base, "document": document, "by": by, "id": mark}
-    status, said = 0, {}
+    status, said, mark = 0, {}, body["id"]
     for _turn in range(3):
-        status, said = any_of(keepers, "PUT", "/configuration", body)
+        status, said = any_of(keepers, method, "/configuration", body)
         if status not in (503, 504):
             break
     if status in (503, 504):
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -14,6 +14,7 @@
 import cappa
 
 import mothshed.common.configuration as configuration
+import mothshed.common.document_change as document_change
 import mothshed.common.manifests as manifests
 import mothshed.programs.ask as ask
 import mothshed.programs.document_file as document_file
@@ -65,6 +66,32 @@
             raise cappa.Exit(code=code)
 
 
+@cappa.command(name="change", help="Puts and removes named items; everything else stays as it is.")
+@dataclasses.dataclass
+class Change:
+    """Flags of `config change`."""
+
+    file: typing.Annotated[str, cappa.Arg(help='JSON: {"put": {"routes": [...]}, "remove": {"routes": ["name"]}}')]
+    base: typing.Annotated[int, cappa.Arg(long=True, help="the sequence your change was made from")]
+    keeper: Keepers
+    by: typing.Annotated[str, cappa.Arg(long=True, help="who changes it")] = ""
+
+    def __call__(self) -> None:
+        """Send the change; exit with the codes above unless it is acknowledged."""
+        said = document_file.read(self.file)
+        unknown = sorted(set(said) - {"put", "remove"}) if isinstance(said, dict) else ["document"]
+        if unknown:
+            raise cappa.Exit("nothing was applied: expected put and remove, not " + ", ".join(unknown), code=2)
+        try:
+            document_change.read(said.get("put", {}), said.get("remove", {}))
+        except document_change.ChangeFault as e:
+            raise cappa.Exit("nothing was applied:\n" + "\n".join(e.faults), code=2) from e
+        code, answer = ask.change(self.keeper, self.base, said, self.by, secrets.token_hex(8))
+        show(answer)
+        if code:
+            raise cappa.Exit(code=code)
+
+
 @cappa.command(name="show", help="Shows the active and the latest document and who has acknowledged it.")
 @dataclasses.dataclass
 class Show:
@@ -109,12 +136,12 @@
             raise cappa.Exit(f"{self.file}: {e}", code=2) from e
 
 
-@cappa.command(name="config", help="The configuration: check, apply, show, history, from-manifest.")
+@cappa.command(name="config", help="The configuration: check, apply, change, show, history, from-manifest.")
 @dataclasses.dataclass
 class Config:
     """The commands on the configuration."""
 
-    command: cappa.Subcommands[Check | Apply | Show | History | FromManifest]
+    command: cappa.Subcommands[Check | Apply | Change | Show | History | FromManifest]
 
 
 @cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -90,6 +90,18 @@
     return fronts.call(platform_front(member), "PUT", "/configuration", document(edition, note), headers)[:2]
 
 
+def patch(member, base, edition, change):
+    """(status, headers, body) of a change by named items on the platform's front; change: its other fields."""
+    body = {"edition": edition, **change}
+    return fronts.call(platform_front(member), "PATCH", "/configuration", body, {"If-Match": str(base)})
+
+
+def own_patch(member, base, order_id, **change):
+    """(status, headers, body) of a change by named items on our own front; change: put, remove."""
+    body = {"base": base, "id": order_id, **change}
+    return fronts.call(keeper_front.KeeperFront(keeper(member)), "PATCH", "/configuration", body)
+
+
 def own_put(member, base, order_id):
     body = {"base": base, "document": configuration.EXAMPLE, "id": order_id}
     return fronts.call(keeper_front.KeeperFront(keeper(member)), "PUT", "/configuration", body)[:2]
--- /dev/null
+++ b/tests/test_change_crashes.py
@@ -0,0 +1,99 @@
+"""A change by named items whose leader is killed, or loses power, at any moment of its way."""
+
+import pytest
+
+import tools.fleet as real_fleet
+import tools.simulator.fleet as sim
+
+POOL = {"selector": {"app": "spare"}, "split": False}
+STEP = 0.0015  # s; finer than a hop of the simulated network or a sync of its disks
+STEPS = 24  # the change is acknowledged well before the last of them
+
+
+def three_keepers(seed):
+    """Three keepers with a first configuration, and the one that leads."""
+    fleet = sim.SimFleet(seed, routers=0, replicas=0)
+    fleet.ready()
+    return fleet, fleet.leader()
+
+
+def send(fleet, name, body, said):
+    """Send a change to one keeper; what it answers is added to said."""
+
+    def call():
+        try:
+            url = f"http://{fleet.settings[name]['http']}/configuration"
+            said.append(fleet.ops.web.send("PATCH", url, body, read=1.0).status)
+        except sim.network.web.WebFault:
+            said.append(0)
+
+    fleet.operator(call)
+
+
+def documents(fleet):
+    """The newest document as each living keeper holds it."""
+    found = []
+    for name in fleet.names("keep"):
+        machine = fleet.parts[name].members[0].machine
+        found.append((machine.latest, machine.docs[machine.latest]["doc"]))
+    return found
+
+
+@pytest.mark.parametrize("back", [False, True])
+def test_a_change_is_applied_whole_and_once_wherever_its_leader_is_lost(back):
+    """back: the lost leader starts again, with what its disk had synced."""
+    ends = set()
+    for step in range(STEPS):
+        fleet, leader = three_keepers(f"change-{step}")
+        body = {"base": 1, "put": {"pools": {"spare": POOL}}, "id": "add spare", "by": "test"}
+        said = []
+        send(fleet, leader, body, said)
+        fleet.run(step * STEP)
+        fleet.kill(leader)
+        ends.add(tuple(said))
+        fleet.run(2.0)
+        if back:
+            fleet.start(leader)
+            fleet.run(1.0)
+        before = [latest for latest, document in documents(fleet) if latest]
+        if said == [200]:  # acknowledged: it must have outlived its leader
+            assert max(before) == 2
+        answers = []
+        fleet.operator(lambda f=fleet, b=body, a=answers: a.append(f.ask("PATCH", "/configuration", b)))
+        fleet.run(5.0)
+        assert answers == [(200, {"sequence": 2, "id": "add spare"})]
+        whole = {**real_fleet.document(fleet.deployment)["pools"], "spare": POOL}
+        living = [
+            row for name, row in zip(fleet.names("keep"), documents(fleet), strict=True) if name != leader or back
+        ]
+        for latest, document in living:
+            assert latest == 2 and sorted(document["pools"]) == sorted(whole)
+            assert document["pools"]["spare"]["selector"] == POOL["selector"]
+    assert {(), (200,)} <= ends  # lost before the acknowledgement, and after it
+
+
+def test_a_change_and_a_whole_document_that_race_through_two_keepers_have_one_winner():
+    winners = set()
+    for seed in range(12):
+        fleet, leader = three_keepers(f"race-{seed}")
+        document = real_fleet.document(fleet.deployment, note="whole")
+        orders = {
+            "PUT": {"base": 1, "document": document, "id": "whole"},
+            "PATCH": {"base": 1, "put": {"pools": {"spare": POOL}}, "id": "spare"},
+        }
+        said = {}
+
+        def call(method, body, said=said, fleet=fleet):
+            said[method] = fleet.ask(method, "/configuration", body)[0]
+
+        for method, body in orders.items():
+            delay = fleet.random.random() * 0.01
+            fleet.later(delay, lambda m=method, b=body, c=call, f=fleet: f.operator(lambda: c(m, b)))
+        fleet.run(6.0)
+        assert sorted(said.values()) == [200, 409]
+        won = min(said, key=said.get)
+        winners.add(won)
+        for latest, document in documents(fleet):
+            assert latest == 2 and ("spare" in document["pools"]) == (won == "PATCH")
+            assert (document.get("note") == "whole") == (won == "PUT")
+    assert winners == {"PUT", "PATCH"}
--- a/tests/test_operator_calls.py
+++ b/tests/test_operator_calls.py
@@ -6,10 +6,13 @@
 import mothshed.control_plane.keeper_front as keeper_front
 import tests.fronts as fronts
 import tests.operators as operators
+import tests.platform_site as platform_site
 
+WHOLE_CHANGE = {"deliver": {"itineraries": [], "depots": [platform_site.depot("one")]}}
 CALLS = {
     "platform put": lambda member: operators.put(member, 0, 5),
     "own put": lambda member: operators.own_put(member, 0, "x"),
+    "platform patch": lambda member: operators.patch(member, 0, 5, WHOLE_CHANGE)[:2],
     "platform get": operators.get,
     "own get": lambda member: fronts.call(keeper_front.KeeperFront(operators.keeper(member)), "GET", "/configuration")[
         :2
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -25,6 +25,10 @@
         (["tools.protections", "--days", "some"], "some"),
         (["tools.proof_table", "--jobs", "0"], "--jobs"),
         (["mothshed.programs.operate", "config", "check", "/no/such/file"], "/no/such/file"),
+        (
+            ["mothshed.programs.operate", "config", "change", "/no/such/file", "--base", "1", "--keeper", "k:1"],
+            "/no/such/file",
+        ),
         (["mothshed.programs.operate", "run", "swap-keeper", "--keeper", "127.0.0.1:1", "--set", "old"], "name=value"),
     ],
 )
