--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -15,6 +15,7 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
+import mothshed.data_plane.prompt_parts as prompt_parts
 
 
 @dataclasses.dataclass
@@ -44,38 +45,11 @@
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
 
-class Parts:
-    """Which prompt parts each replica is believed to keep: those sent there lately."""
-
-    def __init__(self):
-        self.kept = collections.OrderedDict()  # (replica, part) -> True
-
-    def add(self, name, parts):
-        for key, tokens in parts:
-            self.kept[(name, key)] = True
-            self.kept.move_to_end((name, key))
-        while len(self.kept) > constants.KNOWN_PARTS:
-            self.kept.popitem(last=False)
-
-    def held(self, name, parts):
-        """Tokens of the leading parts that a replica keeps."""
-        total = 0
-        for key, tokens in parts:
-            if (name, key) not in self.kept:
-                break
-            total += tokens
-        return total
-
-    def forget(self, name):
-        for key in [k for k in self.kept if k[0] == name]:
-            del self.kept[key]
-
-
 class Placing:
     def __init__(self, desk, replicas, cell):
         self.desk, self.replicas, self.cell = desk, replicas, cell
         self.lock = threading.RLock()
-        self.parts = Parts()
+        self.parts = prompt_parts.Parts()
         self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
         # name -> tokens this router has it read, by rank
         self.others = {}  # part -> name -> what all other routers have there
--- /dev/null
+++ b/mothshed/data_plane/prompt_parts.py
@@ -0,0 +1,36 @@
+"""Which parts of prompts replicas are believed to keep: those that this router sent there lately."""
+
+import collections
+
+import mothshed.common.constants as constants
+
+Part = tuple[str, int]  # its id, and its tokens
+
+
+class Parts:
+    """Which prompt parts each replica is believed to keep: those sent there lately."""
+
+    def __init__(self) -> None:
+        self.kept: collections.OrderedDict[tuple[str, str], bool] = collections.OrderedDict()  # (replica, part id)
+
+    def add(self, name: str, parts: list[Part]) -> None:
+        """A prompt of these parts was sent to a replica."""
+        for key, _tokens in parts:
+            self.kept[(name, key)] = True
+            self.kept.move_to_end((name, key))
+        while len(self.kept) > constants.KNOWN_PARTS:
+            self.kept.popitem(last=False)
+
+    def held(self, name: str, parts: list[Part]) -> int:
+        """Tokens of the leading parts that a replica keeps."""
+        total = 0
+        for key, tokens in parts:
+            if (name, key) not in self.kept:
+                break
+            total += tokens
+        return total
+
+    def forget(self, name: str) -> None:
+        """A replica is believed to keep nothing any more."""
+        for entry in [entry for entry in self.kept if entry[0] == name]:
+            del self.kept[entry]
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -1,13 +1,14 @@
 """mothshed-keep: the keeper daemon, on machines with a disk."""
 
 import dataclasses
+import typing
 
 import cappa
 
-import mothshed.common.disk as disk_module
 import mothshed.common.ring as ring
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.programs.process as process
+import mothshed.programs.serving as serving
 
 
 @cappa.command(
@@ -21,15 +22,17 @@
 
     def __call__(self):
         settings = process.load(self, keeper=True)
-        make = process.desks(settings)
-        try:
-            keeper = keeper_module.Keeper(make(), settings, make, process.open_disk(settings["data"]))
-        except disk_module.DiskFault as e:
-            raise cappa.Exit(f"data folder is not usable: {e}", code=4) from e
-        ring.hold(keeper.journal)
-        keeper.ended = process.start_anew
-        keeper.run()
-        process.serve(keeper.front(), keeper.drain)
+        process.run(lambda: keep(settings))
+
+
+def keep(settings: dict[str, typing.Any]) -> None:
+    """Run a keeper until it is asked to stop; raises serving.ProgramEnd or DiskFault."""
+    make = serving.desks(settings)
+    keeper = keeper_module.Keeper(make(), settings, make, serving.open_disk(settings["data"]))
+    ring.hold(keeper.journal)
+    keeper.ended = serving.start_anew
+    keeper.run()
+    serving.serve(keeper.front(), keeper.drain)
 
 
 def main():
--- /dev/null
+++ b/mothshed/programs/operate_configuration.py
@@ -0,0 +1,146 @@
+"""The commands on the configuration: `mothshed config ...`.
+
+Exit codes are those of operate.py.
+"""
+
+import dataclasses
+import json
+import pathlib
+import secrets
+import typing
+
+import cappa
+
+import mothshed.common.configuration as configuration
+import mothshed.common.document_change as document_change
+import mothshed.common.manifests as manifests
+import mothshed.programs.ask as ask
+import mothshed.programs.document_file as document_file
+
+Keepers = typing.Annotated[
+    list[str],
+    cappa.Arg(long="--keeper", required=True, help="ip:port of a keeper's HTTP front; may be given several times"),
+]
+
+
+def show(body: typing.Any) -> None:
+    """Print an answer as indented JSON."""
+    print(json.dumps(body, indent=2))
+
+
+@cappa.command(name="check", help="Checks a configuration document and lists every fault; changes nothing.")
+@dataclasses.dataclass
+class Check:
+    """Flags of `config check`."""
+
+    file: str
+
+    def __call__(self) -> None:
+        """Print every fault and exit with 2, or say that the document is valid."""
+        found = configuration.faults(document_file.read(self.file))
+        if found:
+            raise cappa.Exit("\n".join(found), code=2)
+        print("valid")
+
+
+@cappa.command(name="apply", help="Applies a whole document over the sequence you read it from.")
+@dataclasses.dataclass
+class Apply:
+    """Flags of `config apply`."""
+
+    file: str
+    base: typing.Annotated[int, cappa.Arg(long=True, help="the sequence your document was made from; 0 for the first")]
+    keeper: Keepers
+    by: typing.Annotated[str, cappa.Arg(long=True, help="who applies it")] = ""
+
+    def __call__(self) -> None:
+        """Send the document; exit with the codes above unless it is acknowledged."""
+        document = document_file.read(self.file)
+        found = configuration.faults(document)
+        if found:
+            raise cappa.Exit("nothing was applied:\n" + "\n".join(found), code=2)
+        code, said = ask.apply(self.keeper, self.base, document, self.by, secrets.token_hex(8))
+        show(said)
+        if code:
+            raise cappa.Exit(code=code)
+
+
+@cappa.command(name="change", help="Puts and removes named items; everything else stays as it is.")
+@dataclasses.dataclass
+class Change:
+    """Flags of `config change`."""
+
+    file: typing.Annotated[str, cappa.Arg(help='JSON: {"put": {"routes": [...]}, "remove": {"routes": ["name"]}}')]
+    base: typing.Annotated[int, cappa.Arg(long=True, help="the sequence your change was made from")]
+    keeper: Keepers
+    by: typing.Annotated[str, cappa.Arg(long=True, help="who changes it")] = ""
+
+    def __call__(self) -> None:
+        """Send the change; exit with the codes above unless it is acknowledged."""
+        said = document_file.read(self.file)
+        unknown = sorted(set(said) - {"put", "remove"}) if isinstance(said, dict) else ["document"]
+        if unknown:
+            raise cappa.Exit("nothing was applied: expected put and remove, not " + ", ".join(unknown), code=2)
+        try:
+            document_change.read(said.get("put", {}), said.get("remove", {}))
+        except document_change.ChangeFault as e:
+            raise cappa.Exit("nothing was applied:\n" + "\n".join(e.faults), code=2) from e
+        code, answer = ask.change(self.keeper, self.base, said, self.by, secrets.token_hex(8))
+        show(answer)
+        if code:
+            raise cappa.Exit(code=code)
+
+
+@cappa.command(name="show", help="Shows the active and the latest document and who has acknowledged it.")
+@dataclasses.dataclass
+class Show:
+    """Flags of `config show`."""
+
+    keeper: Keepers
+
+    def __call__(self) -> None:
+        """Print the documents and who has acknowledged them."""
+        read(self.keeper, "/configuration")
+
+
+@cappa.command(name="history", help="Shows the accepted documents, oldest first.")
+@dataclasses.dataclass
+class History:
+    """Flags of `config history`."""
+
+    keeper: Keepers
+
+    def __call__(self) -> None:
+        """Print the accepted documents that are kept."""
+        read(self.keeper, "/configuration/history")
+
+
+def read(keepers: list[str], path: str) -> None:
+    """Print what the keepers answer; end with code 1 if that is no success."""
+    status, said = ask.any_of(keepers, "GET", path)
+    show(said)
+    if status != 200:
+        raise cappa.Exit(code=1)
+
+
+@cappa.command(name="from-manifest", help="Prints the document that a Gateway-style manifest (YAML) stands for.")
+@dataclasses.dataclass
+class FromManifest:
+    """Flags of `config from-manifest`."""
+
+    file: str
+
+    def __call__(self) -> None:
+        """Print the document, or exit with 2 and what is wrong with the manifest."""
+        try:
+            show(manifests.translate(pathlib.Path(self.file).read_text()))
+        except (OSError, manifests.ManifestFault) as e:
+            raise cappa.Exit(f"{self.file}: {e}", code=2) from e
+
+
+@cappa.command(name="config", help="The configuration: check, apply, change, show, history, from-manifest.")
+@dataclasses.dataclass
+class Config:
+    """The commands on the configuration."""
+
+    command: cappa.Subcommands[Check | Apply | Change | Show | History | FromManifest]
--- a/mothshed/programs/process.py
+++ b/mothshed/programs/process.py
@@ -1,22 +1,15 @@
-"""What both daemons share: settings from file and flags, signals, the long wait."""
+"""What both daemons' command lines share: flags, settings from file and flags, and exit codes."""
 
+import collections.abc
 import dataclasses
-import os
-import signal
-import sys
-import threading
-import time
 import typing
 
 import cappa
 
-import mothshed.common.constants as constants
 import mothshed.common.disk as disk_module
-import mothshed.common.front as front
-import mothshed.common.peers as peers
 import mothshed.common.ring as ring
 import mothshed.common.settings as settings_module
-import mothshed.common.world as world
+import mothshed.programs.serving as serving
 
 Flag = str | None
 
@@ -50,69 +43,11 @@
     return found
 
 
-def desks(settings):
-    """A maker of desks that share one clock thread and one set of peers."""
-    beats = world.Beats()
+def run(daemon: collections.abc.Callable[[], None]) -> None:
+    """Run a daemon to its end; exit as it says, or with code 4 if its data folder is not usable."""
     try:
-        own = peers.Peers(settings["address"], settings.get("listen"))
-    except OSError as e:
-        raise cappa.Exit(f"cannot listen on {settings.get('listen') or settings['address']}: {e}", code=3) from e
-    return lambda: world.Desk(beats, own, settings["address"])
-
-
-def serve_ready(address, path, ready):
-    """A front of its own that says on `path` whether this process wants requests."""
-
-    def app(environ, start):
-        good = environ["PATH_INFO"] == path and ready()
-        return front.respond(start, 200 if good else 503, {"ready": good})
-
-    server = front.Server(address, app, constants.READY_THREADS)
-    threading.Thread(target=server.safe_start, daemon=True).start()
-
-
-def open_disk(folder: str) -> disk_module.Disk:
-    """The data folder, once it takes writes; raises DiskFault if there is no such folder to be had."""
-    disk = disk_module.Disk(folder)
-    while True:
-        try:
-            disk.put("probe", b".")
-            return disk
-        except disk_module.DiskFault as fault:
-            ring.note("disk_refuses", reason=str(fault))
-            time.sleep(constants.DISK_RETRY)
-
-
-def start_anew():
-    """Ends this process politely; whoever keeps it running starts it again."""
-    os.kill(os.getpid(), signal.SIGTERM)
-
-
-def serve(server, stop, reread=lambda: None):
-    """Serves until SIGTERM or SIGINT, then stop(); a second signal ends at once. SIGHUP: reread()."""
-    asked = threading.Event()
-
-    def on_signal(number, frame):
-        if asked.is_set():
-            sys.exit(1)
-        asked.set()
-
-    def on_hup(number, frame):
-        try:
-            reread()
-        except settings_module.SettingsFault as e:  # the old settings stand
-            ring.note("settings_unreadable", reason=str(e))
-
-    signal.signal(signal.SIGHUP, on_hup)
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    try:
-        server.prepare()
-    except OSError as e:
-        raise cappa.Exit(f"cannot listen on {server.bind_addr}: {e}", code=3) from e
-    threading.Thread(target=server.serve, daemon=True).start()
-    asked.wait()
-    clean = stop()
-    server.stop()
-    sys.stdout.flush()
-    raise cappa.Exit(code=0 if clean else 1)
+        daemon()
+    except serving.ProgramEnd as end:
+        raise cappa.Exit(str(end) or None, code=end.code) from end
+    except disk_module.DiskFault as fault:
+        raise cappa.Exit(f"data folder is not usable: {fault}", code=4) from fault
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -1,6 +1,7 @@
 """mothshed-route: the router daemon, on every machine."""
 
 import dataclasses
+import typing
 
 import cappa
 
@@ -8,6 +9,7 @@
 import mothshed.common.ring as ring
 import mothshed.data_plane.router as router_module
 import mothshed.programs.process as process
+import mothshed.programs.serving as serving
 
 
 @cappa.command(
@@ -20,10 +22,15 @@
 
     def __call__(self):
         settings = process.load(self)
-        router = router_module.Router(process.desks(settings)(), settings)
-        ring.hold(router.journal)
-        router.run()
-        process.serve(router.front(), lambda: router.drain(settings.get("drain_s", constants.DRAIN_MOST)))
+        process.run(lambda: route(settings))
+
+
+def route(settings: dict[str, typing.Any]) -> None:
+    """Run a router until it is asked to stop; raises serving.ProgramEnd."""
+    router = router_module.Router(serving.desks(settings)(), settings)
+    ring.hold(router.journal)
+    router.run()
+    serving.serve(router.front(), lambda: router.drain(settings.get("drain_s", constants.DRAIN_MOST)))
 
 
 def main():
--- /dev/null
+++ b/mothshed/programs/serving.py
@@ -0,0 +1,95 @@
+"""Running a daemon: its desks, its disk, its fronts, signals and the long wait.
+
+Nothing here reads flags or knows a command line's library: a daemon that is started with settings alone, as on
+the platform, is up sooner and smaller without it.
+"""
+
+import os
+import signal
+import sys
+import threading
+import time
+
+import mothshed.common.constants as constants
+import mothshed.common.disk as disk_module
+import mothshed.common.front as front
+import mothshed.common.peers as peers
+import mothshed.common.ring as ring
+import mothshed.common.settings as settings_module
+import mothshed.common.world as world
+
+
+class ProgramEnd(Exception):
+    """A daemon ends with this exit code; the text, if any, says why."""
+
+    def __init__(self, code: int, reason: str = "") -> None:
+        super().__init__(reason)
+        self.code = code
+
+
+def desks(settings):
+    """A maker of desks that share one clock thread and one set of peers."""
+    beats = world.Beats()
+    try:
+        own = peers.Peers(settings["address"], settings.get("listen"))
+    except OSError as e:
+        raise ProgramEnd(3, f"cannot listen on {settings.get('listen') or settings['address']}: {e}") from e
+    return lambda: world.Desk(beats, own, settings["address"])
+
+
+def serve_ready(address, path, ready):
+    """A front of its own that says on `path` whether this process wants requests."""
+
+    def app(environ, start):
+        good = environ["PATH_INFO"] == path and ready()
+        return front.respond(start, 200 if good else 503, {"ready": good})
+
+    server = front.Server(address, app, constants.READY_THREADS)
+    threading.Thread(target=server.safe_start, daemon=True).start()
+
+
+def open_disk(folder: str) -> disk_module.Disk:
+    """The data folder, once it takes writes; raises DiskFault if there is no such folder to be had."""
+    disk = disk_module.Disk(folder)
+    while True:
+        try:
+            disk.put("probe", b".")
+            return disk
+        except disk_module.DiskFault as fault:
+            ring.note("disk_refuses", reason=str(fault))
+            time.sleep(constants.DISK_RETRY)
+
+
+def start_anew():
+    """Ends this process politely; whoever keeps it running starts it again."""
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+def serve(server, stop, reread=lambda: None):
+    """Serves until SIGTERM or SIGINT, then stop(); a second signal ends at once. SIGHUP: reread()."""
+    asked = threading.Event()
+
+    def on_signal(number, frame):
+        if asked.is_set():
+            sys.exit(1)
+        asked.set()
+
+    def on_hup(number, frame):
+        try:
+            reread()
+        except settings_module.SettingsFault as e:  # the old settings stand
+            ring.note("settings_unreadable", reason=str(e))
+
+    signal.signal(signal.SIGHUP, on_hup)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    try:
+        server.prepare()
+    except OSError as e:
+        raise ProgramEnd(3, f"cannot listen on {server.bind_addr}: {e}") from e
+    threading.Thread(target=server.serve, daemon=True).start()
+    asked.wait()
+    clean = stop()
+    server.stop()
+    sys.stdout.flush()
+    raise ProgramEnd(0 if clean else 1)
--- a/tests/test_service_without_model.py
+++ b/tests/test_service_without_model.py
@@ -4,8 +4,10 @@
 
 import mothshed.common.journal as journal
 import mothshed.common.listed as listed
+import mothshed.data_plane.placing as placing
 import tests.order_group as order_group
 import tests.platform_site as platform_site
+import tests.test_delivery_placing as test_delivery_placing
 
 DOCUMENT = {
     "pools": {
@@ -151,3 +153,44 @@
     own, answer = site.ask(host)
     assert answer.status == 200 and len(site.platform.ran(own)) == 1
     assert len(reader.asked) == 1 and writer.asked[-1].get("Cache-From") == ""
+
+
+def plain_service(count, cells=None):
+    """Placing over replicas that have no role, r1, r2 .., of one slot less than eight; and its document."""
+    one, pool = test_delivery_placing.placed([f"r{n + 1}" for n in range(count)], cells)
+    for row in one.replicas.rows.values():
+        row["role"], row["slots"] = "none", 2
+    return one, {"pools": {"plain": {"selector": {"service": "s"}, "split": False}}}
+
+
+def test_requests_of_a_service_without_a_model_are_spread_and_never_exceed_the_known_slots():
+    one, document = plain_service(3)
+    taken = [one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name for _ in range(6)]
+    assert sorted(taken) == ["r1", "r1", "r2", "r2", "r3", "r3"]
+    with pytest.raises(placing.Full):
+        one.pair(1, document, "plain", test_delivery_placing.ask(0, ()))
+    assert sum(one.replicas.mine.values()) == 6
+    one.replicas.end("r2")
+    assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r2"
+
+
+def test_what_other_routers_have_at_a_service_without_a_model_counts_against_its_slots():
+    one, document = plain_service(2)
+    one.take_others(1, {"r1": [2, 0.0, 0, 0, 0], "r2": [1, 0.0, 0, 0, 0]})
+    assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r2"
+    with pytest.raises(placing.Full):
+        one.pair(1, document, "plain", test_delivery_placing.ask(0, ()))
+
+
+def test_a_service_without_a_model_is_served_in_the_routers_own_zone_while_that_is_no_busier():
+    one, document = plain_service(3, {"r1": "b", "r2": "a", "r3": "b"})
+    assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r2"
+    one, document = plain_service(2, {"r1": "b", "r2": "a"})
+    one.take_others(1, {"r2": [2, 0.0, 0, 0, 0]})
+    assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r1"
+
+
+def test_a_prompt_to_a_service_without_a_model_is_read_by_nobody_ahead():
+    one, document = plain_service(2)
+    pair = one.pair(1, document, "plain", test_delivery_placing.ask())
+    assert pair.reader is None and pair.unread == 0
