--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -1,5 +1,9 @@
 """The deployments that the stand-in fleets play: zones, machines, replicas, load and tenants."""
 
+PLAIN_SERVICE = "slips"  # a service without a model, which every stand-in fleet has beside its models
+PLAIN_REPLICA = "plain-1"  # its one replica; whatever orders it breaks a rule of the judge
+PLAIN_POOL = {"selector": {"app": PLAIN_SERVICE}, "split": False}
+
 DEPLOYMENTS = {
     "patinetes": {
         "zones": ["mx-a", "mx-b", "mx-c"],
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -34,7 +34,10 @@
         "model": d["model"],
         "kinds": configuration.EXAMPLE["kinds"],
         "tenants": {t: {"share": 1} for t in d["tenants"]},
-        "pools": {"main": {"selector": {"app": d["model"]}, "least_prefill": 1, "least_decode": 1}},
+        "pools": {
+            "main": {"selector": {"app": d["model"]}, "least_prefill": 1, "least_decode": 1},
+            deployments.PLAIN_SERVICE: deployments.PLAIN_POOL,
+        },
         "pairings": [{"pool": "main", "policy": "prefix_affinity"}],
         **changes,
     }
@@ -66,6 +69,7 @@
         self.wait_http(self.list_at, "/replicas")
         for at in range(self.plan["replicas"]):
             self.add_replica(f"replica-{at + 1}", at)
+        self.add_replica(deployments.PLAIN_REPLICA, self.plan["replicas"], deployments.PLAIN_SERVICE, plain=True)
         zones, disks = self.plan["zones"], self.plan["disks"]
         seeds = [self.spot(10 + at) for at in range(disks)]
         for at in range(disks):
@@ -89,21 +93,11 @@
     def relaunch(self, name):
         self.launch(name, self.commands[name])
 
-    def add_replica(self, name, number, service=None):
+    def add_replica(self, name, number, service=None, plain=False):
         at = self.spot(100 + number)
         self.replica_at[name] = at
-        self.launch(
-            name,
-            [
-                "tools.stand_in_replica",
-                "--name",
-                name,
-                "--address",
-                at,
-                "--ledger",
-                str(self.folder / f"{name}.ledger"),
-            ],
-        )
+        ledger = str(self.folder / f"{name}.ledger")
+        self.launch(name, ["tools.stand_in_replica", "--name", name, "--address", at, "--ledger", ledger])
         zones = self.plan["zones"]
         self.set_listed(
             {
@@ -111,7 +105,7 @@
                 "address": at,
                 "zone": zones[number % len(zones)],
                 "service": service or self.plan["model"],
-                "labels": {"app": self.plan["model"]},
+                "labels": {"app": service if plain else self.plan["model"]},
                 "state": "ready",
             }
         )
@@ -183,7 +177,7 @@
         for name, s in self.settings.items():
             if name.startswith("route"):
                 self.wait_http(s["http"], "/condition", lambda c: len(c["replicas"]) >= 2, most)
-        for at in self.replica_at.values():
+        for at in (at for name, at in self.replica_at.items() if name != deployments.PLAIN_REPLICA):
             self.wait_http(at, "/condition", lambda c: c["role"] != "none", most)
         return time.monotonic() - began
 
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 
+import tools.deployments as deployments
 import tools.judge_traffic as judge_traffic
 import tools.recorded as recorded
 
@@ -168,6 +169,15 @@
     return found
 
 
+def plain_left_alone(ledger: recorded.Rows) -> list[str]:
+    """A replica of a service without a model gets no orders and no prompts."""
+    return [
+        f"{row['replica']} has no model and got {row['kind']} {row.get('role')} at {row['at']:.2f}"
+        for row in ledger
+        if row["replica"] == deployments.PLAIN_REPLICA and row["kind"] in ("order", "seen")
+    ]
+
+
 def all_rules(
     history: recorded.Rows,
     ledger: recorded.Rows,
@@ -187,6 +197,7 @@
         "no fall back": no_fall_back(history, ledger, grace),
         "leaving": leaving_left_alone(ledger, shown, grace),
         "orders fenced": orders_fenced(ledger, grace),
+        "plain left alone": plain_left_alone(ledger),
         "few extras": judge_traffic.few_extras(history, ledger),
         "answered at once": judge_traffic.answered_at_once(history),
     }
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -46,6 +46,8 @@
         self.seeds = places[:3]  # a process is told of three at most
         for at in range(replicas):
             self.add_replica(f"replica-{at + 1}", at)
+        if replicas:
+            self.add_replica(deployments.PLAIN_REPLICA, replicas, deployments.PLAIN_SERVICE, plain=True)
         for at in range(keepers):
             self.add_keeper(f"keep-{at + 1}", at, places[at])
         for at in range(routers):
@@ -62,7 +64,7 @@
     def cell(self, at):
         return self.plan["zones"][at % len(self.plan["zones"])]
 
-    def add_replica(self, name, at, service=None):
+    def add_replica(self, name, at, service=None, plain=False):
         machine = self.machine(name)
         self.settings[name] = {"http": f"10.3.0.{at + 1}:80"}
         self.list.change(
@@ -72,7 +74,7 @@
                 "address": f"10.3.0.{at + 1}:80",
                 "zone": self.cell(at),
                 "service": service or self.plan["model"],
-                "labels": {"app": self.plan["model"]},
+                "labels": {"app": service if plain else self.plan["model"]},
                 "state": "ready",
             },
         )
--- a/tools/weight.py
+++ b/tools/weight.py
@@ -1,5 +1,6 @@
 """How much each rule had to judge on one day: a rule with nothing to judge proves nothing."""
 
+import tools.deployments as deployments
 import tools.judge as judge
 import tools.recorded as recorded
 
@@ -30,6 +31,7 @@
         "nothing dropped": len(asked),
         "few extras": len(arrived),
         "orders fenced": sum(r["kind"] == "order" for r in f.ledger),
+        "plain left alone": sum(r["kind"] == "start" and r["replica"] == deployments.PLAIN_REPLICA for r in f.ledger),
         "service returns": len({r["id"] for r in f.rows if back is not None and r["sent"] >= back}),
         "in time": len(asked),
         "freed": sum(r["kind"] == "export" for r in f.ledger),
