Replicas that fail far more than the others of their pool are left out

Nothing heard of it: a status from 500 on ended the request and left no trace.

Each router counts how requests ended at each replica, fading with a half-life of 1.5 s; the counts go with its load reports, the leader's sums go back. A replica that failed at least three and both 0.2 of its own and three times the share of the pool's others is passed over; at most half of a pool. Its counts fade, so that a few requests try it again.

--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -6,12 +6,13 @@
 """
 
 import mothshed.common.constants as constants
+import mothshed.common.replica_load as replica_load
 
 
 class UsageDuty:
     def __init__(self, member):
         self.member, self.desk = member, member.desk
-        self.reports = {}  # router -> (when, rows)
+        self.reports = {}  # router -> (when, Loads)
         self.smooth = {}  # replica -> [requests, tokens being read]
         self.smoothed_at = None
         self.shifting = {}  # replica -> until when an order keeps it away
@@ -29,27 +30,25 @@
                 leader=member.place_of(member.leader) if fresh else "",
             )
             return
-        self.reports[sender] = (self.desk.now(), body["rows"])
-        self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=self.sums(sender))
+        self.reports[sender] = (self.desk.now(), replica_load.from_wire(body["rows"]))
+        sums = replica_load.to_wire(self.sums(sender))
+        self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=sums)
 
     def sums(self, but=""):
-        """replica -> [requests, s it stays out, tokens being read by rank ...] over all routers but one."""
+        """replica -> ReplicaLoad over all routers but one."""
         now, total = self.desk.now(), {}
         self.reports = {a: r for a, r in self.reports.items() if now - r[0] < constants.USAGE_LIFE}
         for sender, (at, rows) in self.reports.items():
             if sender == but:
                 continue
-            for name, (run, out, *tokens) in rows.items():
-                row = total.setdefault(name, [0, 0.0, *[0] * len(tokens)])
-                row[0] += run
-                row[1] = round(max(row[1], out - (now - at)), 2)
-                row[2:] = [a + b for a, b in zip(row[2:], tokens)]
+            for name, load in rows.items():
+                total.setdefault(name, replica_load.ReplicaLoad()).add(load, now - at)
         for name, until in list(self.shifting.items()):
             if until <= now:
                 del self.shifting[name]
             else:
-                row = total.setdefault(name, [0, 0.0, *[0] * constants.RANKS])
-                row[1] = round(max(row[1], until - now), 2)
+                kept_away = replica_load.ReplicaLoad(out_s=until - now)
+                total.setdefault(name, replica_load.ReplicaLoad()).add(kept_away)
         return total
 
     def usage(self, name, role, slots):
@@ -57,7 +56,7 @@
         now = self.desk.now()
         if self.smoothed_at is None or now - self.smoothed_at > constants.USAGE_BEAT:
             keep = 0.0 if self.smoothed_at is None else 0.5 ** ((now - self.smoothed_at) / constants.USAGE_HALF)
-            sums = {n: (row[0], sum(row[2:])) for n, row in self.sums().items()}
+            sums = {name: (load.requests, sum(load.reading)) for name, load in self.sums().items()}
             self.smooth = {
                 n: [keep * self.smooth.get(n, [0, 0])[k] + (1 - keep) * sums.get(n, [0, 0])[k] for k in (0, 1)]
                 for n in {*self.smooth, *sums}
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -170,6 +170,7 @@
         reply, name = self.reply, pair.writer.name
         if reply.status >= 500:  # its own failure: it ran
             self.own = reply, self.whole(reply, name)
+            self.router.placing.outcomes.failed(name)
             raise verdict.SendFailure(verdict.Verdict.RAN, f"status {reply.status}", name)
         self.own = None
         try:
@@ -187,6 +188,7 @@
             self.router.frees.order(self.handle)
             self.handle = None
         self.router.replicas.served(name)
+        self.router.placing.outcomes.answered(name)
         if self.ask.parts:
             self.router.placing.parts.add(name, self.ask.parts)
         return reply, first, number, rows
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -15,6 +15,7 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
+import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.prompt_parts as prompt_parts
 
 
@@ -52,7 +53,8 @@
         self.parts = prompt_parts.Parts()
         self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
         # name -> tokens this router has it read, by rank
-        self.others = {}  # part -> name -> what all other routers have there
+        self.others = {}  # part -> (when told, what all other routers have at its replicas)
+        self.outcomes = outcomes.Outcomes(desk.now)
         self.paces = {}  # name -> tokens/s as measured
 
     def take_others(self, part, rows):
@@ -60,14 +62,16 @@
         now = self.desk.now()
         with self.lock:
             self.others[part] = (now, rows)
-        for name, (run, out, *tokens) in rows.items():
-            if out > constants.USAGE_BEAT and name not in self.replicas.fails:
-                self.replicas.doubt(name, min(out, constants.OUT_MOST))
+        for name, load in rows.items():
+            if load.out_s > constants.USAGE_BEAT and name not in self.replicas.fails:
+                self.replicas.doubt(name, min(load.out_s, constants.OUT_MOST))
 
     def known(self, name, at):
         """What all routers have at a replica. at: 0 requests, 1 tokens being read."""
         return (
-            sum(self.queued(name)) if at else self.replicas.mine.get(name, 0) + sum(row[0] for row in self.told(name))
+            sum(self.queued(name))
+            if at
+            else self.replicas.mine.get(name, 0) + sum(load.requests for load in self.told(name))
         )
 
     def told(self, name):
@@ -77,7 +81,7 @@
 
     def queued(self, name):
         """Tokens being read at a replica over all routers, by rank."""
-        return [sum(t) for t in zip(self.reading[name], *(row[2:] for row in self.told(name)))]
+        return [sum(t) for t in zip(self.reading[name], *(load.reading for load in self.told(name)))]
 
     def pace(self, name):
         return self.paces.get(name, constants.READ_PACE)
@@ -156,6 +160,17 @@
         if not any(self.has_free_slot(name) for name in names):
             raise Full(constants.BOUNCE_LEAST)
 
+    def not_failing(self, names: list[str]) -> list[str]:
+        """These replicas of one pool without those that fail far more requests than the others."""
+        ended = {name: self.ended(name) for name in names}
+        failing = outcomes.failing(ended)
+        return [name for name in names if name not in failing]
+
+    def ended(self, name: str) -> outcomes.Ended:
+        """How requests ended at a replica lately, over all routers as far as is known."""
+        told = (outcomes.Ended(load.answered, load.failed) for load in self.told(name))
+        return sum(told, self.outcomes.of(name))
+
     def admit(self, ask, name, pace, unread, writers):
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
         self.require_free_slot(writers)
@@ -171,7 +186,7 @@
             writers = self.replicas.usable(row["selector"], pools.serving_role(row))
             if not writers:
                 return None
-            writers = [n for n in writers if n not in without] or list(writers)
+            writers = self.not_failing([n for n in writers if n not in without] or list(writers))
             if not pools.has_split(row) or not ask.tokens:  # nothing to read ahead
                 self.require_free_slot(writers)
                 return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -8,6 +8,7 @@
 """
 
 import mothshed.common.constants as constants
+import mothshed.common.replica_load as replica_load
 import mothshed.control_plane.parts as parts
 
 
@@ -20,27 +21,30 @@
         desk.post(self.tick)
 
     def rows(self):
-        """part -> {replica: [requests, s it stays out, tokens being read by rank ...]}."""
+        """part -> {replica: ReplicaLoad}, of replicas of which there is anything to tell."""
         found, now = {}, self.desk.now()
         with self.replicas.lock:
             for name, row in self.replicas.rows.items():
                 part = found.setdefault(parts.part_of(row["service"]), {})
                 out = max(0.0, self.replicas.doubts.get(name, 0) - now) if name in self.replicas.fails else 0.0
-                own = [self.replicas.mine.get(name, 0), round(out, 2), *self.placing.reading[name]]
-                if any(own):
+                ended = self.placing.outcomes.of(name)
+                own = replica_load.ReplicaLoad(
+                    self.replicas.mine.get(name, 0), out, ended.answered, ended.failed, list(self.placing.reading[name])
+                )
+                if own.any():
                     part[name] = own
         return found
 
     def tick(self):
         now, rows = self.desk.now(), self.rows()
-        if any(rows.values()):
+        if any(load.requests for own in rows.values() for load in own.values()):
             self.busy_at = now
         for part, own in rows.items():
             self.mark += 1
-            self.desk.tell(self.leaders.ask(part), "usage", part=part, mark=self.mark, rows=own)
+            self.desk.tell(self.leaders.ask(part), "usage", part=part, mark=self.mark, rows=replica_load.to_wire(own))
         busy = now - self.busy_at < constants.USAGE_IDLE
         self.desk.beat(constants.USAGE_BEAT if busy else constants.USAGE_IDLE, self.tick)
 
     def on_usages(self, sender, body):
         self.leaders.heard(body["part"], sender)
-        self.placing.take_others(body["part"], body["rows"])
+        self.placing.take_others(body["part"], replica_load.from_wire(body["rows"]))
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -8,6 +8,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.journal as journal
 import mothshed.common.listed as listed
+import mothshed.common.replica_load as replica_load
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.data_plane.placing as placing
 import mothshed.data_plane.prompt_parts as prompt_parts
@@ -26,6 +27,10 @@
     return types.SimpleNamespace(tokens=tokens, parts=list(parts), route={"aim_s": aim})
 
 
+def usage(requests, out_s=0.0, reading=(0, 0, 0)):
+    return replica_load.ReplicaLoad(requests, out_s, reading=list(reading))
+
+
 def placed(roles, cells=None):
     """Placing over replicas p1, p2 .. and d1, d2 ..; with the pool that moves its time."""
     pool = all_orders.Pool()
@@ -124,11 +129,11 @@
 
 def test_with_every_writer_full_nothing_is_admitted_and_no_place_is_taken():
     one, pool = placed(["p1", "d1", "d2"])
-    one.take_others(1, {n: [8, 0.0, 0, 0, 0] for n in ("d1", "d2")})
+    one.take_others(1, {n: usage(8) for n in ("d1", "d2")})
     with pytest.raises(placing.Full):
         one.pair(1, DOCUMENT, "main", ask())
     assert not any(one.replicas.mine.values()) and one.known("p1", 1) == 0
-    one.take_others(1, {"d1": [8, 0.0, 0, 0, 0], "d2": [7, 0.0, 0, 0, 0]})
+    one.take_others(1, {"d1": usage(8), "d2": usage(7)})
     assert names(one.pair(1, DOCUMENT, "main", ask())) == ("p1", "d2")
 
 
@@ -154,11 +159,11 @@
 
 def test_others_usage_counts_until_it_is_old():
     one, pool = placed(["p1", "p2", "d1", "d2"])
-    one.take_others(1, {"d1": [6, 0.0, 0, 0, 0], "p1": [2, 0.0, 400, 0, 49600]})
-    one.take_others(2, {"d1": [1, 0.0, 0, 0, 0]})
+    one.take_others(1, {"d1": usage(6), "p1": usage(2, 0.0, [400, 0, 49600])})
+    one.take_others(2, {"d1": usage(1)})
     assert (one.known("d1", 0), one.known("p1", 1), one.queued("p1")) == (7, 50000, [400, 0, 49600])
     assert names(one.pair(1, DOCUMENT, "main", ask(parts=[("own", 3000)]))) == ("p2", "d2")
-    one.take_others(1, {"d1": [5, 0.0, 0, 0, 0]})  # a newer one takes its place
+    one.take_others(1, {"d1": usage(5)})  # a newer one takes its place
     assert (one.known("d1", 0), one.known("p1", 1)) == (6, 0)
     pool.time += constants.USAGE_LIFE - 0.01
     assert one.known("d1", 0) == 6
@@ -168,7 +173,7 @@
 
 def test_one_that_others_say_is_out_is_not_placed_upon_for_as_long():
     one, pool = placed(["p1", "d1", "d2"])
-    one.take_others(1, {"d1": [0, 1.0, 0, 0, 0]})
+    one.take_others(1, {"d1": usage(0, 1.0, [0, 0, 0])})
     assert set(one.replicas.usable({"service": "s"}, "decode")) == {"d2"}
     pool.time += 1.01
     assert set(one.replicas.usable({"service": "s"}, "decode")) == {"d1", "d2"}
@@ -178,11 +183,21 @@
     pool = all_orders.Pool()
     member = types.SimpleNamespace(desk=all_orders.HandDesk(pool, "k:1"), part=1, is_leader=True)
     duty = usage_duty.UsageDuty(member)
-    duty.on_usage("r:1", {"mark": 1, "rows": {"d1": [2, 0.5, 1, 0, 10]}})
-    duty.on_usage("r:2", {"mark": 1, "rows": {"d1": [3, 0.0, 2, 5, 20], "p1": [1, 0.0, 0, 900, 0]}})
-    assert pool.waiting[-1][3]["rows"] == {"d1": [2, 0.5, 1, 0, 10]}
+    duty.on_usage("r:1", {"mark": 1, "rows": replica_load.to_wire({"d1": usage(2, 0.5, [1, 0, 10])})})
+    duty.on_usage(
+        "r:2",
+        {
+            "mark": 1,
+            "rows": replica_load.to_wire({"d1": usage(3, 0.0, [2, 5, 20]), "p1": usage(1, 0.0, [0, 900, 0])}),
+        },
+    )
+    assert pool.waiting[-1][3]["rows"] == replica_load.to_wire({"d1": usage(2, 0.5, [1, 0, 10])})
     duty.shifting["d2"] = pool.time + 1.0
     pool.time += 0.25
-    assert duty.sums() == {"d1": [5, 0.25, 3, 5, 30], "p1": [1, 0.0, 0, 900, 0], "d2": [0, 0.75, 0, 0, 0]}
+    assert duty.sums() == {
+        "d1": usage(5, 0.25, [3, 5, 30]),
+        "p1": usage(1, 0.0, [0, 900, 0]),
+        "d2": usage(0, 0.75, [0, 0, 0]),
+    }
     pool.time += constants.USAGE_LIFE
     assert duty.sums() == {}
--- a/tests/test_service_without_model.py
+++ b/tests/test_service_without_model.py
@@ -176,7 +176,7 @@
 
 def test_what_other_routers_have_at_a_service_without_a_model_counts_against_its_slots():
     one, document = plain_service(2)
-    one.take_others(1, {"r1": [2, 0.0, 0, 0, 0], "r2": [1, 0.0, 0, 0, 0]})
+    one.take_others(1, {"r1": test_delivery_placing.usage(2), "r2": test_delivery_placing.usage(1)})
     assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r2"
     with pytest.raises(placing.Full):
         one.pair(1, document, "plain", test_delivery_placing.ask(0, ()))
@@ -186,7 +186,7 @@
     one, document = plain_service(3, {"r1": "b", "r2": "a", "r3": "b"})
     assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r2"
     one, document = plain_service(2, {"r1": "b", "r2": "a"})
-    one.take_others(1, {"r2": [2, 0.0, 0, 0, 0]})
+    one.take_others(1, {"r2": test_delivery_placing.usage(2)})
     assert one.pair(1, document, "plain", test_delivery_placing.ask(0, ())).writer.name == "r1"
 
 
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -8,6 +8,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.disk_log as disk_log
 import mothshed.common.records as records
+import mothshed.common.replica_load as replica_load
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.data_plane.route_front as route_front
@@ -75,7 +76,7 @@
     bodies = {
         f"10.2.0.{at}:70": {
             "rows": {
-                n: [count, 0.0, *[0] * constants.RANKS]
+                n: replica_load.ReplicaLoad(count).to_wire()
                 for n, count in design.running(few, chance, names, names).items()
             },
             "mark": 1,
@@ -83,7 +84,7 @@
         for at in range(routers)
     }
     for sender, body in bodies.items():
-        duty.reports[sender] = (1000.0, body["rows"])
+        duty.reports[sender] = (1000.0, replica_load.from_wire(body["rows"]))
     sender, body = next(iter(bodies.items()))
     cost = spent(lambda: duty.on_usage(sender, body))
     up = len(records.pack("usage", part=1, mark=1, rows=body["rows"]))
