Orders go out as soon as their roles are agreed, not on the next beat

Agreed roles waited for the next order beat, half a second.

The orders now go out when the roles are committed.

--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -9,6 +9,8 @@
 """
 
 import collections
+import collections.abc
+import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
@@ -106,9 +108,19 @@
         gone = [n for n in self.machine.roles if n not in self.replicas.rows]
         new = {n: r for n, r in wanted.items() if self.machine.roles.get(n) != r}
         if new or gone:
-            self.member.propose({"op": "roles", "standing": self.standing, "roles": new, "gone": gone})
-            return  # sent on a later beat, once agreed
-        for name in wanted:
+            command = {"op": "roles", "standing": self.standing, "roles": new, "gone": gone}
+            self.member.propose(command, lambda result: self.roles_agreed(result, wanted))
+            return
+        self.send_orders(wanted)
+
+    def roles_agreed(self, result: dict[str, typing.Any] | None, wanted: dict[str, str]) -> None:
+        """Changed roles are in the part's log: their orders go out at once, not on the next beat."""
+        if result is not None and self.may(self.standing) and self.lease.current()[0] is not None:
+            self.send_orders([name for name in wanted if name in self.machine.roles])
+
+    def send_orders(self, names: collections.abc.Iterable[str]) -> None:
+        """Order those of these replicas that do not yet have the role which the part has agreed on."""
+        for name in names:
             # each replica hears of a new standing once, so that older holders are fenced off there
             seen = self.replicas.conditions.get(name)
             news = seen and (
