--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -9,18 +9,23 @@
 on unchanged when nothing better is left.
 """
 
+import typing
+
 import mothshed.common.constants as constants
 import mothshed.common.events as events
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
 import mothshed.data_plane.delivery_sends as delivery_sends
+import mothshed.data_plane.place_wait as place_wait
 import mothshed.data_plane.placing as placing
 import mothshed.data_plane.routes as routes
+import mothshed.data_plane.stage_times as stage_times
 
 NOT_RUN = verdict.Verdict.NOT_RUN
+Stage = stage_times.Stage
 
 
-class Deliver(delivery_sends.DeliverySends):
+class Deliver(delivery_sends.DeliverySends, place_wait.PlaceWait):
     def __init__(self, router, ask):
         self.router, self.desk, self.ask, self.speech = router, router.desk, ask, router.speech
         self.route = ask.route
@@ -36,6 +41,7 @@
         self.last = ask.after  # id of the last event delivered
         self.pair = self.handle = self.reply = None
         self.selector = {}  # of the replicas that the pair was taken from
+        self.times = stage_times.StageTimes(self.desk.now)
 
     def left(self):
         left = self.ask.cutoff - self.desk.now()
@@ -106,45 +112,24 @@
             503, self.fails[-1].reason if self.fails else "no replica", round(self.retry, 2), "sends_failed"
         )
 
-    def take_place(self, alone):
-        """A pair of places; waits a little for one, then bounces."""
-        until, full = min(self.ask.cutoff, self.desk.now() + self.ask.patience), 0.0
-        while True:
-            self.stop_if_caller_left()
-            sequence = self.router.lease.sequence()
-            if sequence is not None:
-                document = self.router.lease.document()
-                route = self.router.tables.of(sequence, document).match(self.ask.host, self.ask.target)
-                if route is None:
-                    raise verdict.Bounce(404, "no route")
-                self.route = route
-                pool = routes.pool_of(route, self.desk.random)
-                self.selector = document["pools"][pool]["selector"]
-                try:
-                    pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
-                    if pair:
-                        return pair
-                except placing.Full as e:
-                    full = e.span
-            if self.desk.now() >= until:
-                self.retry = (
-                    constants.BOUNCE_LEASE
-                    if sequence is None
-                    else max(constants.BOUNCE_LEAST, full)
-                    if full
-                    else constants.BOUNCE_RETRY
-                )
-                self.give_in("no lease" if sequence is None else "queues are full" if full else "no replica")
-            self.desk.pause(constants.PLACE_BEAT)
-
     def once(self):
         alone = self.prefills > 1 or (self.prefills == 1 and not self.reader_left())
-        pair = self.pair = self.take_place(alone)
+        with self.times.stage(Stage.PLACE):
+            pair = self.pair = self.take_place(alone)
         if pair.reader:
-            self.handle = self.prefill(pair)
-            self.wait_for_lease()
+            with self.times.stage(Stage.READING):
+                self.handle = self.prefill(pair)
+            with self.times.stage(Stage.LEASE):
+                self.wait_for_lease()
             self.keep_writer()
         self.may_send("decode")
+        with self.times.stage(Stage.FIRST_EVENT):
+            begun = self.decode(pair)
+        self.note_late()
+        return begun
+
+    def decode(self, pair: placing.Pair) -> tuple[typing.Any, ...]:
+        """The answer of a pair's writer, begun: its reply, first event, that one's id, and the rest."""
         try:
             self.reply = self.speech.decode(
                 self.desk,
--- /dev/null
+++ b/mothshed/data_plane/place_wait.py
@@ -0,0 +1,59 @@
+"""A delivered request's wait for a place, and what it says if there is none."""
+
+import dataclasses
+
+import mothshed.common.constants as constants
+import mothshed.common.verdict as verdict
+import mothshed.data_plane.placing as placing
+import mothshed.data_plane.routes as routes
+
+
+@dataclasses.dataclass(frozen=True)
+class NoPlace:
+    """Why a request has no place now, and after how many seconds its caller may come again."""
+
+    reason: str
+    retry_after_s: float
+
+
+class PlaceWait:
+    """The part of Deliver that finds a pair of places."""
+
+    def take_place(self, alone: bool) -> placing.Pair:
+        """A pair of places; waits a little for one. Raises SendFailure if there is none, Bounce without a route."""
+        until = min(self.ask.cutoff, self.desk.now() + self.ask.patience)
+        while True:
+            self.stop_if_caller_left()
+            found = self.try_place(alone)
+            if isinstance(found, placing.Pair):
+                return found
+            if self.desk.now() >= until:
+                self.retry = found.retry_after_s
+                self.give_in(found.reason)
+            self.desk.pause(constants.PLACE_BEAT)
+
+    def try_place(self, alone: bool) -> placing.Pair | NoPlace:
+        """A pair of places under the lease that runs now, if any."""
+        sequence, document = self.router.lease.sequence(), self.router.lease.document()
+        if sequence is None:
+            return NoPlace("no lease", constants.BOUNCE_LEASE)
+        route = self.router.tables.of(sequence, document).match(self.ask.host, self.ask.target)
+        if route is None:
+            raise verdict.Bounce(404, "no route")
+        self.route = route
+        pool = routes.pool_of(route, self.desk.random)
+        self.selector = document["pools"][pool]["selector"]
+        try:
+            pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
+        except placing.Full as full:
+            return NoPlace("queues are full", max(constants.BOUNCE_LEAST, full.span))
+        return pair or NoPlace("no replica", constants.BOUNCE_RETRY)
+
+    def note_late(self) -> None:
+        """Count an answer that begins past its aim, by the stage that took longest."""
+        aim_s = self.ask.route.get("aim_s")
+        if aim_s is None or self.last is not None or self.desk.now() - self.ask.born <= aim_s:
+            return
+        longest = self.times.longest()
+        if longest:
+            self.router.journal.add("late", outcome=longest.value, request=self.ask.id)
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -12,11 +12,13 @@
 import dataclasses
 import hashlib
 import threading
+import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
 import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.prompt_parts as prompt_parts
+import mothshed.data_plane.reading_profile as reading_profile
 
 
 @dataclasses.dataclass
@@ -29,7 +31,8 @@
     writer: object  # Place
     unread: int  # prompt tokens that the reader is expected to read
     expected: float  # s until the prompt is read
-    queued: int = 0  # tokens already there to be read when it was placed
+    reading_s: float = 0.0  # s of it that the reading itself is expected to take
+    queued_s: float = 0.0  # s of reading already there when it was placed
     rank: int = 0  # of the reading: 0 goes first
     done: bool = False  # the reader's place is given back
 
@@ -42,6 +45,11 @@
         self.span = span
 
 
+def aim_of(ask: typing.Any) -> float:
+    """Seconds within which a request is to be answered; a usual time where its route names none."""
+    return float(ask.route.get("aim_s", constants.ADMIT_USUAL))
+
+
 def weight(key, name):
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
@@ -52,10 +60,10 @@
         self.lock = threading.RLock()
         self.parts = prompt_parts.Parts()
         self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
-        # name -> tokens this router has it read, by rank
+        # name -> s of reading that this router has there, by rank
         self.others = {}  # part -> (when told, what all other routers have at its replicas)
         self.outcomes = outcomes.Outcomes(desk.now)
-        self.paces = {}  # name -> tokens/s as measured
+        self.profiles = reading_profile.ReadingProfiles()
 
     def take_others(self, part, rows):
         """What all other routers have at a part's replicas, as its leader adds it up."""
@@ -66,13 +74,9 @@
             if load.out_s > constants.USAGE_BEAT and name not in self.replicas.fails:
                 self.replicas.doubt(name, min(load.out_s, constants.OUT_MOST))
 
-    def known(self, name, at):
-        """What all routers have at a replica. at: 0 requests, 1 tokens being read."""
-        return (
-            sum(self.queued(name))
-            if at
-            else self.replicas.mine.get(name, 0) + sum(load.requests for load in self.told(name))
-        )
+    def running(self, name: str) -> float:
+        """Requests that all routers have at a replica, as far as is known."""
+        return self.replicas.mine.get(name, 0) + sum(load.requests for load in self.told(name))
 
     def told(self, name):
         """What others were last said to have at a replica, unless that is too old."""
@@ -80,18 +84,13 @@
         return [rows[name] for when, rows in self.others.values() if name in rows and now - when < constants.USAGE_LIFE]
 
     def queued(self, name):
-        """Tokens being read at a replica over all routers, by rank."""
+        """Seconds of reading under way at a replica over all routers, by rank."""
         return [sum(t) for t in zip(self.reading[name], *(load.reading for load in self.told(name)))]
 
-    def pace(self, name):
-        return self.paces.get(name, constants.READ_PACE)
-
-    def measured(self, name, tokens, queued, span):
-        """A prefill of so many unread tokens took span seconds; those that queued say nothing of the pace."""
-        if tokens > constants.PACE_LEAST and queued < tokens / 10:
-            pace = tokens / max(span - constants.READ_BASE, 0.001)
-            pace = min(max(pace, constants.READ_PACE / 4), constants.READ_PACE * 1.25)
-            self.paces[name] = 0.8 * self.pace(name) + 0.2 * pace
+    def measured(self, pair: Pair, span: float) -> None:
+        """The prefill of a pair took span seconds; one that queued says nothing of the pace."""
+        if pair.queued_s <= constants.QUEUED_LITTLE * pair.reading_s:
+            self.profiles.of(pair.pool).measured(pair.reader.name, pair.unread, span)
 
     def unread(self, name, ask, home):
         held = self.parts.held(name, ask.parts)
@@ -105,55 +104,58 @@
         return max(names, key=lambda n: weight(shared[-1], n)) if shared and names else None
 
     def far(self, name, cell):
-        return 0.0 if self.replicas.rows[name]["cell"] == cell else constants.FAR_COST
+        return self.replicas.rows[name]["cell"] != cell
 
-    def reader(self, names, ask):
+    def reader(self, names, ask, profile):
         """(name, tokens unread, s until the prompt is read) of the soonest."""
         home, rows = self.home(names, ask), []
         for name in names:
             unread = self.unread(name, ask, home)
-            alone = unread / self.pace(name) + constants.READ_BASE
-            time = self.wait(name, self.pace(name), self.rank(ask, alone)) + alone
+            reading_s = profile.reading_s(name, unread)
+            time = self.wait(name, self.rank(ask, reading_s, profile)) + reading_s + profile.base_s
             again = max(0, unread - (ask.parts[-1][1] if ask.parts else unread))  # shared parts read anew
-            dear = constants.AGAIN_COST * again / self.pace(name)
-            rows.append((time + dear + self.far(name, self.cell), name, unread, time))
+            dear = constants.AGAIN_COST * profile.reading_s(name, again)
+            away = constants.FAR_SHARE * aim_of(ask) * self.far(name, self.cell)
+            rows.append((time + dear + away, name, unread, time))
         return min(rows)[1:]
 
     def writer(self, names, cell):
         """The one with the least running; among about equals one in the cell, and none without a free slot."""
         free = [n for n in names if self.has_free_slot(n)]
-        run = {n: self.known(n, 0) for n in free or names}
+        run = {n: self.running(n) for n in free or names}
         few = min(run.values())
         near = [n for n in run if run[n] <= few + 1 + few // 4]
         return min(near, key=lambda n: (self.far(n, cell), run[n], self.desk.random.random()))
 
-    def alone(self, names, ask):
+    def alone(self, names, ask, profile):
         """(name, s until read) of the writer that would have read the prompt by itself soonest."""
         rows = []
         for name in names:
-            unread = max(0, ask.tokens - self.parts.held(name, ask.parts)) + self.known(name, 1)
-            time = unread / (constants.WRITER_PACE * constants.READ_PACE) + constants.READ_BASE
-            rows.append((time + self.known(name, 0) * constants.RUN_COST + self.far(name, self.cell), name, time))
+            unread = max(0, ask.tokens - self.parts.held(name, ask.parts))
+            time = profile.reading_s(name, unread) / constants.WRITER_PACE + profile.base_s + sum(self.queued(name))
+            away = constants.FAR_SHARE * aim_of(ask) * self.far(name, self.cell)
+            rows.append((time + self.running(name) * constants.RUN_COST + away, name, time))
         return min(rows)[1:]
 
     def by_itself(self, ask, handed, alone):
         """Whether the writer shall read: a short prompt, and it is sooner."""
         return ask.tokens <= constants.PROMPT_SHORT and alone < handed
 
-    def rank(self, ask, alone):
+    def rank(self, ask, alone, profile):
         """Short readings first: they hold nobody up. Then those with little time to spare, then the rest."""
-        if alone <= constants.READ_SHORT:
+        aim_s = aim_of(ask)
+        if alone <= profile.usual_s:
             return 0
-        spare = ask.route.get("aim_s", constants.ADMIT_USUAL) - alone - constants.READ_REST
-        return 1 if 0 <= spare < constants.READ_TIGHT else 2
+        spare = aim_s - alone - constants.READ_REST * aim_s
+        return 1 if 0 <= spare < constants.READ_TIGHT * aim_s else 2
 
-    def wait(self, name, pace, rank):
-        """s until what goes before a reading of this rank is read at a replica."""
-        return sum(self.queued(name)[: rank + 1]) / pace
+    def wait(self, name, rank):
+        """Seconds until what goes before a reading of this rank is read at a replica."""
+        return sum(self.queued(name)[: rank + 1])
 
     def has_free_slot(self, name: str) -> bool:
         """Whether fewer requests are known to be at a replica than it has slots."""
-        return self.known(name, 0) < self.replicas.rows[name]["slots"]
+        return self.running(name) < self.replicas.rows[name]["slots"]
 
     def require_free_slot(self, names: list[str]) -> None:
         """Raises Full if every one of these replicas is known to have all its slots taken."""
@@ -171,11 +173,11 @@
         told = (outcomes.Ended(load.answered, load.failed) for load in self.told(name))
         return sum(told, self.outcomes.of(name))
 
-    def admit(self, ask, name, pace, unread, writers):
+    def admit(self, ask, name, reading_s, profile, writers):
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
         self.require_free_slot(writers)
-        wait = self.wait(name, pace, self.rank(ask, unread / pace))
-        most = constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
+        wait = self.wait(name, self.rank(ask, reading_s, profile))
+        most = constants.ADMIT_SHARE * aim_of(ask)
         if wait > most:
             raise Full(wait - most)
 
@@ -191,16 +193,18 @@
                 self.require_free_slot(writers)
                 return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
             readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
-            lone, time = self.alone(writers, ask)
+            profile = self.profiles.of(pool)
+            lone, time = self.alone(writers, ask, profile)
+            own_reading_s = profile.reading_s(lone, ask.tokens) / constants.WRITER_PACE
             if alone or not readers:
                 if not alone:
-                    self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+                    self.admit(ask, lone, own_reading_s, profile, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
-            reader, unread, expected = self.reader(readers, ask)
+            reader, unread, expected = self.reader(readers, ask, profile)
             if self.by_itself(ask, expected, time):
-                self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+                self.admit(ask, lone, own_reading_s, profile, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
-            self.admit(ask, reader, self.pace(reader), unread, writers)
+            self.admit(ask, reader, profile.reading_s(reader, unread), profile, writers)
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
             return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
@@ -224,18 +228,19 @@
         if reader:
             self.replicas.begin(reader)
         name = reader or writer
-        queued, pace = self.known(name, 1), self.pace(name) * (1.0 if reader else constants.WRITER_PACE)
-        rank = self.rank(ask, unread / pace)
-        self.reading[name][rank] += unread
-        place = self.replicas.place
-        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank)
+        profile = self.profiles.of(pool)
+        reading_s = profile.reading_s(name, unread) / (1.0 if reader else constants.WRITER_PACE)
+        queued_s, rank = sum(self.queued(name)), self.rank(ask, reading_s, profile)
+        self.reading[name][rank] += reading_s
+        places = self.replicas.place(reader) if reader else None, self.replicas.place(writer)
+        return Pair(sequence, pool, *places, unread, expected, reading_s, queued_s, rank)
 
     def read(self, pair):
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
             name = (pair.reader or pair.writer).name
-            self.reading[name][pair.rank] = max(0, self.reading[name][pair.rank] - pair.unread)
-            pair.unread = 0
+            self.reading[name][pair.rank] = max(0.0, self.reading[name][pair.rank] - pair.reading_s)
+            pair.reading_s = 0.0
             if pair.reader and not pair.done:
                 self.replicas.end(name)
                 pair.done = True
