--- a/mothshed/common/pools.py
+++ b/mothshed/common/pools.py
@@ -12,8 +12,6 @@
 
 import typing
 
-import mothshed.common.constants as constants
-
 Pool = typing.Mapping[str, typing.Any]  # a row of `pools` in a configuration document
 
 
@@ -22,20 +20,6 @@
     return bool(pool.get("split", True))
 
 
-def shortest_aim(document: typing.Mapping[str, typing.Any], pool: str) -> float:
-    """The shortest aim, in seconds, of the routes that go to a pool; a usual one if none names any.
-
-    >>> shortest_aim({"routes": [{"pools": [{"pool": "a", "share": 1}], "aim_s": 0.8}]}, "a")
-    0.8
-    """
-    aims = [
-        route["aim_s"]
-        for route in document.get("routes", ())
-        if "aim_s" in route and any(row["pool"] == pool and row["share"] for row in route["pools"])
-    ]
-    return min(aims, default=constants.ADMIT_USUAL)
-
-
 def serving_role(pool: Pool) -> str | None:
     """The role of the replicas that answer the pool's requests; None if its replicas have no roles."""
     return "decode" if has_split(pool) else None
--- a/mothshed/common/replica_load.py
+++ b/mothshed/common/replica_load.py
@@ -32,24 +32,21 @@
     out_s: float = 0.0  # s for which it is not to be placed upon
     answered: float = 0.0  # requests it lately answered
     failed: float = 0.0  # requests it lately failed by its own word
-    reading: list[float] = dataclasses.field(default_factory=no_reading)  # s of reading under way, by rank
+    reading: list[float] = dataclasses.field(default_factory=no_reading)  # prompt tokens being read, by rank
 
     def to_wire(self) -> Wire:
         """The row as it is sent."""
-        reading = [round(span, 4) for span in self.reading]
-        ended = [round(self.answered, 2), round(self.failed, 2)]
-        return [self.requests, round(self.out_s, 2), *no_reading(), *ended, *reading]
+        return [self.requests, round(self.out_s, 2), *self.reading, round(self.answered, 2), round(self.failed, 2)]
 
     @classmethod
     def from_wire(cls, row: Wire) -> "ReplicaLoad":
         """The row as it was sent; raises ValueError if it is shorter than any release sends."""
-        if len(row) < constants.LOAD_OLD_NUMBERS:
+        requests, out_s, *rest = row
+        reading, ended = rest[: constants.RANKS], rest[constants.RANKS :]
+        if len(reading) < constants.RANKS:
             raise ValueError(f"a load of {len(row)} numbers")
-        requests, out_s = row[:2]
-        if len(row) < constants.LOAD_NUMBERS:
-            return cls(requests, out_s)
-        answered, failed, *reading = row[constants.LOAD_OLD_NUMBERS :]
-        return cls(requests, out_s, answered, failed, reading[: constants.RANKS])
+        answered, failed = ended[:2] if len(ended) >= 2 else (0.0, 0.0)
+        return cls(requests, out_s, answered, failed, reading)
 
     def add(self, other: "ReplicaLoad", age: float = 0.0) -> None:
         """Count another router's row in; age: s since it was sent."""
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -77,19 +77,19 @@
             self.look(document)
         self.desk.beat(constants.ORDER_BEAT, self.tick)
 
-    def shared(self, selector, aim_s):
+    def shared(self, selector):
         """A pool's replicas: ours, other parts', and our rank among the parts that have some."""
         found = self.replicas.usable(selector)
         part = {n: parts.part_of(self.replicas.rows[n]["service"]) for n in found if n in self.replicas.rows}
         ours = {n: found[n] for n in part if part[n] == self.member.part}
-        rest = {n: (found[n]["role"], self.usage_of(n, found[n], aim_s)) for n in part if n not in ours}
+        rest = {n: (found[n]["role"], self.usage_of(n, found[n])) for n in part if n not in ours}
         count = collections.Counter(part.values())
         ahead = sorted(count, key=lambda p: (-count[p], p))
         return ours, rest, ahead.index(self.member.part) if ours else 0
 
-    def usage_of(self, name, condition, aim_s):
+    def usage_of(self, name, condition):
         if self.shared_usage:
-            return self.shared_usage.usage(name, condition["role"], condition["slots"], aim_s)
+            return self.shared_usage.usage(name, condition["role"], condition["slots"])
         return usage_of(condition)
 
     def look(self, document):
@@ -97,11 +97,10 @@
         for name, pool in sorted(document["pools"].items()):
             if not pools.has_split(pool):
                 continue
-            aim_s = pools.shortest_aim(document, name)
-            found, rest, rank = self.shared(pool["selector"], aim_s)
+            found, rest, rank = self.shared(pool["selector"])
             found = {n: c for n, c in found.items() if n not in wanted}
             split = self.split.setdefault(name, service_part.Split(self.desk.now))
-            usage = {n: self.usage_of(n, c, aim_s) for n, c in found.items()}
+            usage = {n: self.usage_of(n, c) for n, c in found.items()}
             roles = self.machine.roles
             if self.gives_roles:  # a replica keeps the part that it came with
                 roles = {**{n: c["role"] for n, c in found.items() if c["role"] != "none"}, **roles}
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -13,7 +13,7 @@
     def __init__(self, member):
         self.member, self.desk = member, member.desk
         self.reports = {}  # router -> (when, Loads)
-        self.smooth = {}  # replica -> [requests, s of reading under way]
+        self.smooth = {}  # replica -> [requests, tokens being read]
         self.smoothed_at = None
         self.shifting = {}  # replica -> until when an order keeps it away
         self.desk.hear("usage", self.on_usage, member.part)
@@ -51,11 +51,8 @@
                 total.setdefault(name, replica_load.ReplicaLoad()).add(kept_away)
         return total
 
-    def usage(self, name, role, slots, aim_s):
-        """(running, waiting, slots) as the split weighs them, smoothed over a second or two.
-
-        aim_s: within which the pool's requests are to be answered; what readers may queue is a share of it.
-        """
+    def usage(self, name, role, slots):
+        """(running, waiting, slots) as the split weighs them, smoothed over a second or two."""
         now = self.desk.now()
         if self.smoothed_at is None or now - self.smoothed_at > constants.USAGE_BEAT:
             keep = 0.0 if self.smoothed_at is None else 0.5 ** ((now - self.smoothed_at) / constants.USAGE_HALF)
@@ -65,7 +62,7 @@
                 for n in {*self.smooth, *sums}
             }
             self.smoothed_at = now
-        run, reading_s = self.smooth.get(name, (0, 0))
+        run, tokens = self.smooth.get(name, (0, 0))
         if role == "prefill":
-            return reading_s, 0, constants.READ_FULL * aim_s
+            return tokens / constants.READ_PACE, 0, constants.READ_FULL
         return run, 0, constants.RUN_FULL * slots
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -111,7 +111,7 @@
 
     def prefill(self, pair):
         """The handle, or None when the writer shall read for itself."""
-        began, name = self.desk.now(), pair.reader.name
+        began, name, unread = self.desk.now(), pair.reader.name, pair.unread
         read = min(max(constants.READ_FACTOR * pair.expected, constants.READ_LEAST), constants.READ_MOST, self.left())
         try:
             self.may_send("prefill")
@@ -136,18 +136,18 @@
                 self.judge(e, pair.reader)
                 self.router.placing.parts.forget(name)
             return None
-        else:
-            self.router.placing.measured(pair, self.desk.now() - began)
         finally:
             self.router.placing.read(pair)
         self.router.placing.parts.add(name, self.ask.parts)
+        self.router.placing.measured(name, unread, pair.queued, self.desk.now() - began)
         self.router.replicas.served(name)
         return handle
 
     def patience_first(self):
         """How long the first event may take before a repeatable request goes elsewhere."""
         if self.again and self.decodes + 1 < self.route["tries"] and not self.last:
-            return min(self.left(), constants.SILENT_FIRST + 2 * (0.0 if self.handle else self.pair.expected))
+            reading = self.ask.tokens / constants.READ_PACE / constants.WRITER_PACE if not self.handle else 0.0
+            return min(self.left(), constants.SILENT_FIRST + 2 * reading)
         return self.left()
 
     def whole(self, reply, name):
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -12,13 +12,11 @@
 import dataclasses
 import hashlib
 import threading
-import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
 import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.prompt_parts as prompt_parts
-import mothshed.data_plane.reading_profile as reading_profile
 
 
 @dataclasses.dataclass
@@ -31,8 +29,7 @@
     writer: object  # Place
     unread: int  # prompt tokens that the reader is expected to read
     expected: float  # s until the prompt is read
-    reading_s: float = 0.0  # s of it that the reading itself is expected to take
-    queued_s: float = 0.0  # s of reading already there when it was placed
+    queued: int = 0  # tokens already there to be read when it was placed
     rank: int = 0  # of the reading: 0 goes first
     done: bool = False  # the reader's place is given back
 
@@ -45,11 +42,6 @@
         self.span = span
 
 
-def aim_of(ask: typing.Any) -> float:
-    """Seconds within which a request is to be answered; a usual time where its route names none."""
-    return float(ask.route.get("aim_s", constants.ADMIT_USUAL))
-
-
 def weight(key, name):
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
@@ -60,10 +52,10 @@
         self.lock = threading.RLock()
         self.parts = prompt_parts.Parts()
         self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
-        # name -> s of reading that this router has there, by rank
+        # name -> tokens this router has it read, by rank
         self.others = {}  # part -> (when told, what all other routers have at its replicas)
         self.outcomes = outcomes.Outcomes(desk.now)
-        self.profiles = reading_profile.ReadingProfiles()
+        self.paces = {}  # name -> tokens/s as measured
 
     def take_others(self, part, rows):
         """What all other routers have at a part's replicas, as its leader adds it up."""
@@ -78,19 +70,29 @@
         """Requests that all routers have at a replica, as far as is known."""
         return self.replicas.mine.get(name, 0) + sum(load.requests for load in self.told(name))
 
+    def being_read(self, name: str) -> float:
+        """Prompt tokens that all routers have being read at a replica, as far as is known."""
+        return sum(self.queued(name))
+
     def told(self, name):
         """What others were last said to have at a replica, unless that is too old."""
         now = self.desk.now()
         return [rows[name] for when, rows in self.others.values() if name in rows and now - when < constants.USAGE_LIFE]
 
     def queued(self, name):
-        """Seconds of reading under way at a replica over all routers, by rank."""
+        """Tokens being read at a replica over all routers, by rank."""
         return [sum(t) for t in zip(self.reading[name], *(load.reading for load in self.told(name)))]
 
-    def measured(self, pair: Pair, span: float) -> None:
-        """The prefill of a pair took span seconds; one that queued says nothing of the pace."""
-        if pair.queued_s <= constants.QUEUED_LITTLE * pair.reading_s:
-            self.profiles.of(pair.pool).measured(pair.reader.name, pair.unread, span)
+    def pace(self, name: str) -> float:
+        """Tokens a second that a replica reads."""
+        return self.paces.get(name, constants.READ_PACE)
+
+    def measured(self, name: str, tokens: float, queued: float, span: float) -> None:
+        """A prefill of so many unread tokens took span seconds; those that queued say nothing of the pace."""
+        if tokens > constants.PACE_LEAST and queued < tokens / 10:
+            pace = tokens / max(span - constants.READ_BASE, 0.001)
+            pace = min(max(pace, constants.READ_PACE / 4), constants.READ_PACE * 1.25)
+            self.paces[name] = 0.8 * self.pace(name) + 0.2 * pace
 
     def unread(self, name, ask, home):
         held = self.parts.held(name, ask.parts)
@@ -104,19 +106,18 @@
         return max(names, key=lambda n: weight(shared[-1], n)) if shared and names else None
 
     def far(self, name, cell):
-        return self.replicas.rows[name]["cell"] != cell
+        return 0.0 if self.replicas.rows[name]["cell"] == cell else constants.FAR_COST
 
-    def reader(self, names, ask, profile):
+    def reader(self, names, ask):
         """(name, tokens unread, s until the prompt is read) of the soonest."""
         home, rows = self.home(names, ask), []
         for name in names:
             unread = self.unread(name, ask, home)
-            reading_s = profile.reading_s(name, unread)
-            time = self.wait(name, self.rank(ask, reading_s, profile)) + reading_s + profile.base_s
+            alone = unread / self.pace(name) + constants.READ_BASE
+            time = self.wait(name, self.pace(name), self.rank(ask, alone)) + alone
             again = max(0, unread - (ask.parts[-1][1] if ask.parts else unread))  # shared parts read anew
-            dear = constants.AGAIN_COST * profile.reading_s(name, again)
-            away = constants.FAR_SHARE * aim_of(ask) * self.far(name, self.cell)
-            rows.append((time + dear + away, name, unread, time))
+            dear = constants.AGAIN_COST * again / self.pace(name)
+            rows.append((time + dear + self.far(name, self.cell), name, unread, time))
         return min(rows)[1:]
 
     def writer(self, names, cell):
@@ -127,31 +128,29 @@
         near = [n for n in run if run[n] <= few + 1 + few // 4]
         return min(near, key=lambda n: (self.far(n, cell), run[n], self.desk.random.random()))
 
-    def alone(self, names, ask, profile):
+    def alone(self, names, ask):
         """(name, s until read) of the writer that would have read the prompt by itself soonest."""
         rows = []
         for name in names:
-            unread = max(0, ask.tokens - self.parts.held(name, ask.parts))
-            time = profile.reading_s(name, unread) / constants.WRITER_PACE + profile.base_s + sum(self.queued(name))
-            away = constants.FAR_SHARE * aim_of(ask) * self.far(name, self.cell)
-            rows.append((time + self.running(name) * constants.RUN_COST + away, name, time))
+            unread = max(0, ask.tokens - self.parts.held(name, ask.parts)) + self.being_read(name)
+            time = unread / (constants.WRITER_PACE * constants.READ_PACE) + constants.READ_BASE
+            rows.append((time + self.running(name) * constants.RUN_COST + self.far(name, self.cell), name, time))
         return min(rows)[1:]
 
     def by_itself(self, ask, handed, alone):
         """Whether the writer shall read: a short prompt, and it is sooner."""
         return ask.tokens <= constants.PROMPT_SHORT and alone < handed
 
-    def rank(self, ask, alone, profile):
+    def rank(self, ask, alone):
         """Short readings first: they hold nobody up. Then those with little time to spare, then the rest."""
-        aim_s = aim_of(ask)
-        if alone <= profile.usual_s:
+        if alone <= constants.READ_SHORT:
             return 0
-        spare = aim_s - alone - constants.READ_REST * aim_s
-        return 1 if 0 <= spare < constants.READ_TIGHT * aim_s else 2
+        spare = ask.route.get("aim_s", constants.ADMIT_USUAL) - alone - constants.READ_REST
+        return 1 if 0 <= spare < constants.READ_TIGHT else 2
 
-    def wait(self, name, rank):
+    def wait(self, name, pace, rank):
         """Seconds until what goes before a reading of this rank is read at a replica."""
-        return sum(self.queued(name)[: rank + 1])
+        return sum(self.queued(name)[: rank + 1]) / pace
 
     def has_free_slot(self, name: str) -> bool:
         """Whether fewer requests are known to be at a replica than it has slots."""
@@ -173,11 +172,11 @@
         told = (outcomes.Ended(load.answered, load.failed) for load in self.told(name))
         return sum(told, self.outcomes.of(name))
 
-    def admit(self, ask, name, reading_s, profile, writers):
+    def admit(self, ask, name, pace, unread, writers):
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
         self.require_free_slot(writers)
-        wait = self.wait(name, self.rank(ask, reading_s, profile))
-        most = constants.ADMIT_SHARE * aim_of(ask)
+        wait = self.wait(name, pace, self.rank(ask, unread / pace))
+        most = constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
         if wait > most:
             raise Full(wait - most)
 
@@ -193,18 +192,16 @@
                 self.require_free_slot(writers)
                 return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
             readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
-            profile = self.profiles.of(pool)
-            lone, time = self.alone(writers, ask, profile)
-            own_reading_s = profile.reading_s(lone, ask.tokens) / constants.WRITER_PACE
+            lone, time = self.alone(writers, ask)
             if alone or not readers:
                 if not alone:
-                    self.admit(ask, lone, own_reading_s, profile, writers)
+                    self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
-            reader, unread, expected = self.reader(readers, ask, profile)
+            reader, unread, expected = self.reader(readers, ask)
             if self.by_itself(ask, expected, time):
-                self.admit(ask, lone, own_reading_s, profile, writers)
+                self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
-            self.admit(ask, reader, profile.reading_s(reader, unread), profile, writers)
+            self.admit(ask, reader, self.pace(reader), unread, writers)
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
             return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
@@ -228,19 +225,18 @@
         if reader:
             self.replicas.begin(reader)
         name = reader or writer
-        profile = self.profiles.of(pool)
-        reading_s = profile.reading_s(name, unread) / (1.0 if reader else constants.WRITER_PACE)
-        queued_s, rank = sum(self.queued(name)), self.rank(ask, reading_s, profile)
-        self.reading[name][rank] += reading_s
-        places = self.replicas.place(reader) if reader else None, self.replicas.place(writer)
-        return Pair(sequence, pool, *places, unread, expected, reading_s, queued_s, rank)
+        queued, pace = self.being_read(name), self.pace(name) * (1.0 if reader else constants.WRITER_PACE)
+        rank = self.rank(ask, unread / pace)
+        self.reading[name][rank] += unread
+        place = self.replicas.place
+        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank)
 
     def read(self, pair):
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
             name = (pair.reader or pair.writer).name
-            self.reading[name][pair.rank] = max(0.0, self.reading[name][pair.rank] - pair.reading_s)
-            pair.reading_s = 0.0
+            self.reading[name][pair.rank] = max(0, self.reading[name][pair.rank] - pair.unread)
+            pair.unread = 0
             if pair.reader and not pair.done:
                 self.replicas.end(name)
                 pair.done = True
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -108,18 +108,17 @@
 def test_places_taken_are_given_back_once():
     one, pool = placed(["p1", "d1"])
     pair = one.pair(1, DOCUMENT, "main", ask())
-    assert (one.running("p1"), one.running("d1")) == (1, 1)
-    assert one.queued("p1") == [1000 / constants.READ_PACE, 0, 0]  # p1 is home of the shared part
+    assert (one.running("p1"), one.being_read("p1"), one.running("d1")) == (1, 1000, 1)  # p1 is home of the shared part
     for _ in range(3):
         one.read(pair)
-    assert (one.running("p1"), sum(one.queued("p1")), one.running("d1")) == (0, 0, 1)
+    assert (one.running("p1"), one.being_read("p1"), one.running("d1")) == (0, 0, 1)
     one.replicas.end("d1")
     assert one.running("d1") == 0
 
 
 def test_a_queue_too_long_for_the_aim_takes_no_more():
     one, pool = placed(["p1", "d1"])
-    one.reading["p1"][constants.RANKS - 1] = constants.ADMIT_SHARE * 1.0 + 0.1
+    one.reading["p1"][constants.RANKS - 1] = int(constants.ADMIT_SHARE * 1.0 * constants.READ_PACE) + 4000
     with pytest.raises(placing.Full) as full:
         one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]))
     assert abs(full.value.span - 0.1) < 0.01
@@ -133,7 +132,7 @@
     one.take_others(1, {n: usage(8) for n in ("d1", "d2")})
     with pytest.raises(placing.Full):
         one.pair(1, DOCUMENT, "main", ask())
-    assert not any(one.replicas.mine.values()) and sum(one.queued("p1")) == 0
+    assert not any(one.replicas.mine.values()) and one.being_read("p1") == 0
     one.take_others(1, {"d1": usage(8), "d2": usage(7)})
     assert names(one.pair(1, DOCUMENT, "main", ask())) == ("p1", "d2")
 
@@ -141,7 +140,7 @@
 def test_without_a_reader_the_writer_reads_and_without_a_writer_there_is_no_place():
     one, pool = placed(["d1", "d2"])
     assert names(one.pair(1, DOCUMENT, "main", ask()))[0] is None
-    one.reading["d1"][0] = one.reading["d2"][0] = 25.0
+    one.reading["d1"][0] = one.reading["d2"][0] = 10**6
     with pytest.raises(placing.Full):
         one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]))
     assert one.pair(1, DOCUMENT, "main", ask(8000, [("own", 8000)]), alone=True)
@@ -160,12 +159,12 @@
 
 def test_others_usage_counts_until_it_is_old():
     one, pool = placed(["p1", "p2", "d1", "d2"])
-    one.take_others(1, {"d1": usage(6), "p1": usage(2, 0.0, [0.01, 0, 1.24])})
+    one.take_others(1, {"d1": usage(6), "p1": usage(2, 0.0, [400, 0, 49600])})
     one.take_others(2, {"d1": usage(1)})
-    assert (one.running("d1"), one.queued("p1")) == (7, [0.01, 0, 1.24])
+    assert (one.running("d1"), one.being_read("p1"), one.queued("p1")) == (7, 50000, [400, 0, 49600])
     assert names(one.pair(1, DOCUMENT, "main", ask(parts=[("own", 3000)]))) == ("p2", "d2")
     one.take_others(1, {"d1": usage(5)})  # a newer one takes its place
-    assert (one.running("d1"), sum(one.queued("p1"))) == (6, 0)
+    assert (one.running("d1"), one.being_read("p1")) == (6, 0)
     pool.time += constants.USAGE_LIFE - 0.01
     assert one.running("d1") == 6
     pool.time += 0.02
