--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -6,7 +6,7 @@
 once every leaseholder it may have has staged it or lapsed. The timing argument
 is in docs/configuration.md. A new leader knows neither the leaseholders nor when
 a staged document was acknowledged: it grants no older lease at all until the
-document is active, and waits out a whole LEASE_LONG before that.
+document is active, and before that waits until its predecessors' leases have run out.
 """
 
 import json
@@ -126,6 +126,7 @@
         self.inherited = self.machine.latest
         self.number = self.member.log.term * 1000000
         self.started = self.desk.now()
+        self.activates_from = self.member.former_leases_end(constants.LEASE_LONG)
         for address, (at, mark) in self.lost.items():
             if at > self.started - constants.LEASE_LONG:
                 self.desk.tell(address, "look_elsewhere", part=0, mark=mark, leader=self.desk.address)
@@ -219,7 +220,7 @@
             del self.holders[address]
         if not self.on or machine.latest == machine.active or self.asking:
             return
-        if now < self.started + constants.LEASE_LONG + constants.LEASE_SLACK:
+        if now < self.activates_from:
             return
         reached = min([machine.latest] + [h.staged for h in self.holders.values() if h.until > now])
         goal = max((s for s in machine.docs if machine.active < s <= reached), default=0)
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -63,6 +63,7 @@
         self.woken = self.desk.now()
         self.pick_patience()
         self.trial = trial
+        self.handed = handed
         self.votes = {self.who}
         self.chart.step("stand")
         self.leader = ""
@@ -121,6 +122,18 @@
         else:
             self.win()
 
+    def former_leases_end(self, lease_s: float) -> float:
+        """When every lease that earlier leaders granted, each for lease_s at most, has run out: on this member's clock.
+
+        A lease counts from its ask, and its leader granted it only after a majority echoed a round sent later.
+        One of that majority is among those that elected this leader, and gave its vote no sooner than VOTE_HOLD
+        after that echo (an earlier leader that steps down had gone without a majority's echoes for LEADER_QUIET,
+        which is no shorter). Votes for a successor that its leader named are given at once: then nothing is taken
+        off.
+        """
+        held_s = 0.0 if self.handed else min(constants.VOTE_HOLD, constants.LEADER_QUIET)
+        return float(self.won_at) + lease_s - held_s + constants.LEASE_SLACK
+
     def win(self):
         self.chart.step("win")
         self.leader = self.who
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -36,6 +36,7 @@
         self.where = {}  # id -> address heard of lately
         self.waits = {}  # index -> (term, call)
         self.heard = desk.now()  # also after a start: an old promise may still hold
+        self.handed = False  # whether this member stood because its leader named it
         self.membership = membership.Membership()
         if self.log.snap:
             machine.restore(self.log.snap["state"])
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -5,6 +5,7 @@
 bring the group to rest at the end to see whether what was acknowledged is there.
 """
 
+import mothshed.common.constants as constants
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.reconfiguration as reconfiguration
 import tests.all_orders as all_orders
@@ -40,6 +41,7 @@
         self.history, self.leaders, self.acknowledged = {}, {}, []
         self.seats, self.disks, self.marks, self.down = {}, {}, {}, set()
         self.count = 0
+        self.leases = []  # (term of the leader that a majority confirmed, when the lease was asked for)
         names = [chr(ord("A") + n) for n in range(size)]
         voters = {f"{name}/1": {"address": self.address(name), "http": ""} for name in names}
         for name in names:
@@ -103,12 +105,29 @@
         number = self.count
         seat.propose({"op": "note", "n": number}, lambda result: result and self.acknowledged.append(number))
 
+    def ask_lease(self, name):
+        """A lease asked of this member, if it leads; granted once a majority has confirmed it."""
+        seat = self.seats[name]
+        if name in self.down or not (seat.is_leader and seat.ready):
+            return
+        asked, term = self.pool.time, seat.log.term
+        seat.confirm(lambda good: good and self.leases.append((term, asked)))
+
     # --- what must hold ---
+    def check_leases(self, seat):
+        """No lease of an earlier leader outlasts the moment from which this one takes them all for run out."""
+        end = seat.former_leases_end(constants.LEASE_LONG)
+        for term, asked in self.leases:
+            if term < seat.log.term:
+                left = asked + constants.LEASE_LONG - end
+                assert left <= 0, f"a lease of term {term} runs {left:.2f} s past the wait of the leader of {seat.who}"
+
     def check(self):
         for name, seat in self.seats.items():
             if name not in self.down and seat.is_leader:
                 known = self.leaders.setdefault(seat.log.term, seat.who)
                 assert known == seat.who, f"two leaders of term {seat.log.term}: {known}, {seat.who}"
+                self.check_leases(seat)
 
     def whole(self):
         """Whether a leader has settled on just the members that there are: then a disk may be lost."""
--- a/tests/test_delivery_parts.py
+++ b/tests/test_delivery_parts.py
@@ -102,6 +102,9 @@
     def propose(self, command, call):
         call(self.machine.apply(0, command))
 
+    def former_leases_end(self, lease_s):
+        return self.desk.now() + lease_s + constants.LEASE_SLACK
+
 
 def duty_of(pool, *sequences):
     """A duty whose machine has these, the first of them active; it has waited out its start."""
@@ -111,7 +114,7 @@
         duty.machine.apply(0, stage(base, sequence, f"m{sequence}"))
         duty.machine.active = base = sequence
     duty.start()
-    duty.started -= 10
+    duty.activates_from -= 10
     return duty
 
 
--- a/tests/test_lease_state.py
+++ b/tests/test_lease_state.py
@@ -38,6 +38,9 @@
     def propose(self, command, call):
         call(self.machine.apply(0, command))
 
+    def former_leases_end(self, lease_s):
+        return self.desk.now() + lease_s + constants.LEASE_SLACK
+
 
 def deployment(routers=2):
     """A pool, the duty on its leader, and leases that hold sequence 1."""
@@ -46,7 +49,7 @@
     duty.machine.apply(0, stage(0, 1, "order 0", {"n": 1, "as_sent": {"big": "text"}}))
     duty.machine.active = 1
     duty.start()
-    duty.started -= 10
+    duty.activates_from -= 10
     leases = [lease_module.Lease(all_orders.HandDesk(pool, f"r:{n}"), lambda: ["a:1"]) for n in range(routers)]
     for lease in leases:
         lease.ask()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -147,6 +147,9 @@
     def propose(self, command, call):
         call(self.machine.apply(0, command))
 
+    def former_leases_end(self, lease_s):
+        return self.desk.now() + lease_s + constants.LEASE_SLACK
+
 
 def test_stage_activate_and_lapse_in_any_order():
     """However records, losses and time fall: once a document is active, no older lease outlasts LEASE_SHORT."""
@@ -159,7 +162,7 @@
         duty.member.machine.apply(0, stage(0))
         duty.member.machine.active = 1
         duty.start()
-        duty.started -= 10
+        duty.activates_from -= 10
         lease.ask()
         while pool.waiting:
             pool.deliver(0)
