--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -16,8 +16,8 @@
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
 import mothshed.data_plane.delivery_sends as delivery_sends
+import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.place_wait as place_wait
-import mothshed.data_plane.placing as placing
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.stage_times as stage_times
 
@@ -128,7 +128,7 @@
         self.note_late()
         return begun
 
-    def decode(self, pair: placing.Pair) -> tuple[typing.Any, ...]:
+    def decode(self, pair: pair_module.Pair) -> tuple[typing.Any, ...]:
         """The answer of a pair's writer, begun: its reply, first event, that one's id, and the rest."""
         try:
             self.reply = self.send_decode(pair)
@@ -140,7 +140,7 @@
             self.reply = self.send_decode(pair)
         return self.begun(pair)
 
-    def send_decode(self, pair: placing.Pair) -> typing.Any:
+    def send_decode(self, pair: pair_module.Pair) -> typing.Any:
         """The reply of a pair's writer; raises SendFailure."""
         try:
             return self.speech.decode(
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -8,7 +8,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
-import mothshed.data_plane.placing as placing
+import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.routes as routes
 
 NOT_RUN = verdict.Verdict.NOT_RUN
@@ -151,7 +151,7 @@
             return min(self.left(), constants.SILENT_FIRST + 2 * reading)
         return self.left()
 
-    def may_read_itself(self, e: verdict.SendFailure, pair: placing.Pair) -> bool:
+    def may_read_itself(self, e: verdict.SendFailure, pair: pair_module.Pair) -> bool:
         """Whether a writer that turned a handle away may be sent the prompt instead, to read it by itself.
 
         It proved that nothing ran, and it was not full as far as is known: then the memory could not be had,
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -4,7 +4,7 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.verdict as verdict
-import mothshed.data_plane.placing as placing
+import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.routes as routes
 
 
@@ -19,20 +19,20 @@
 class PlaceWait:
     """The part of Deliver that finds a pair of places."""
 
-    def take_place(self, alone: bool) -> placing.Pair:
+    def take_place(self, alone: bool) -> pair_module.Pair:
         """A pair of places; waits a little for one. Raises SendFailure if there is none, Bounce without a route."""
         until = min(self.ask.cutoff, self.desk.now() + self.ask.patience)
         while True:
             self.stop_if_caller_left()
             found = self.try_place(alone)
-            if isinstance(found, placing.Pair):
+            if isinstance(found, pair_module.Pair):
                 return found
             if self.desk.now() >= until:
                 self.retry = found.retry_after_s
                 self.give_in(found.reason)
             self.desk.pause(constants.PLACE_BEAT)
 
-    def try_place(self, alone: bool) -> placing.Pair | NoPlace:
+    def try_place(self, alone: bool) -> pair_module.Pair | NoPlace:
         """A pair of places under the lease that runs now, if any."""
         sequence, document = self.router.lease.sequence(), self.router.lease.document()
         if sequence is None:
@@ -45,7 +45,7 @@
         self.selector = document["pools"][pool]["selector"]
         try:
             pair = self.router.placing.pair(sequence, document, pool, self.ask, self.without, alone)
-        except placing.Full as full:
+        except pair_module.Full as full:
             return NoPlace("queues are full", max(constants.BOUNCE_LEAST, full.span))
         return pair or NoPlace("no replica", constants.BOUNCE_RETRY)
 
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -9,39 +9,17 @@
 """
 
 import collections
-import dataclasses
 import hashlib
 import threading
+import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
 import mothshed.data_plane.outcomes as outcomes
+import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.prompt_parts as prompt_parts
 
 
-@dataclasses.dataclass
-class Pair:
-    """Where one round of a delivered request goes; no reader: the writer reads for itself."""
-
-    sequence: int
-    pool: str
-    reader: object  # Place or None
-    writer: object  # Place
-    unread: int  # prompt tokens that the reader is expected to read
-    expected: float  # s until the prompt is read
-    queued: int = 0  # tokens already there to be read when it was placed
-    rank: int = 0  # of the reading: 0 goes first
-    done: bool = False  # the reader's place is given back
-
-
-class Full(Exception):
-    """Every reader's queue is too long for this prompt; `span` s too long for the shortest."""
-
-    def __init__(self, span):
-        super().__init__(f"queue is {span:.2f} s too long")
-        self.span = span
-
-
 def weight(key, name):
     return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
 
@@ -159,7 +137,7 @@
     def require_free_slot(self, names: list[str]) -> None:
         """Raises Full if every one of these replicas is known to have all its slots taken."""
         if not any(self.has_free_slot(name) for name in names):
-            raise Full(constants.BOUNCE_LEAST)
+            raise pair_module.Full(constants.BOUNCE_LEAST)
 
     def not_failing(self, names: list[str]) -> list[str]:
         """These replicas of one pool without those that fail far more requests than the others."""
@@ -178,7 +156,23 @@
         wait = self.wait(name, pace, self.rank(ask, unread / pace))
         most = constants.ADMIT_SHARE * ask.route.get("aim_s", constants.ADMIT_USUAL)
         if wait > most:
-            raise Full(wait - most)
+            raise pair_module.Full(wait - most)
+
+    def admit_alone(self, ask: typing.Any, writer: str, writers: list[str]) -> None:
+        """Raises Full if a prompt that this writer read by itself would come to its aim too late."""
+        self.admit(ask, writer, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+
+    def overflows(self, ask: typing.Any, reader: str, unread: int, lone: str, writers: list[str]) -> bool:
+        """Whether the readers' queues are too long for a prompt, and a writer's is not."""
+        try:
+            self.admit(ask, reader, self.pace(reader), unread, writers)
+        except pair_module.Full:
+            try:
+                self.admit_alone(ask, lone, writers)
+            except pair_module.Full:
+                return False
+            return True
+        return False
 
     def pair(self, sequence, document, pool, ask, without=(), alone=False):
         """A Pair with both places taken, or None. alone: without a reader."""
@@ -193,13 +187,14 @@
                 return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
             readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
             lone, time = self.alone(writers, ask)
-            if alone or not readers:
-                if not alone:
-                    self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+            if alone:
+                return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
+            if not readers:
+                self.admit_alone(ask, lone, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
             reader, unread, expected = self.reader(readers, ask)
-            if self.by_itself(ask, expected, time):
-                self.admit(ask, lone, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
+            if self.by_itself(ask, expected, time) or self.overflows(ask, reader, unread, lone, writers):
+                self.admit_alone(ask, lone, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
             self.admit(ask, reader, self.pace(reader), unread, writers)
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
@@ -229,7 +224,9 @@
         rank = self.rank(ask, unread / pace)
         self.reading[name][rank] += unread
         place = self.replicas.place
-        return Pair(sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank)
+        return pair_module.Pair(
+            sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank
+        )
 
     def read(self, pair):
         """The prompt of a pair is read, or its reading has ended some other way."""
