--- a/tests/operators.py
+++ b/tests/operators.py
@@ -2,12 +2,23 @@
 
 import types
 
+import hypothesis.strategies as strategies
+
 import mothshed.common.configuration as configuration
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
 import tests.fronts as fronts
 import tests.platform_site as platform_site
 
+# What may happen to one of eight orders: how its commit goes, or that the commits that wait come.
+ACTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["at once", "late", "lost", "unsure", "stuck", "come"]),
+        strategies.integers(0, 7),
+    ),
+    max_size=30,
+)
+
 
 class Gate:
     """A gate whose wait carries out what its mailbox holds, then says whether it was set."""
--- a/tests/test_configuration_races.py
+++ b/tests/test_configuration_races.py
@@ -3,7 +3,6 @@
 import itertools
 
 import hypothesis
-import hypothesis.strategies as strategies
 import pytest
 
 import mothshed.common.constants as constants
@@ -95,15 +94,7 @@
 
 
 @STEADY
-@hypothesis.given(
-    strategies.lists(
-        strategies.tuples(
-            strategies.sampled_from(["at once", "late", "lost", "unsure", "stuck", "come"]),
-            strategies.integers(0, 7),
-        ),
-        max_size=30,
-    )
-)
+@hypothesis.given(operators.ACTS)
 def test_no_taken_change_is_refused_and_no_number_is_acknowledged_twice(acts):
     """Whole documents and changes on rising bases, sent and sent again while majority and commits come and go."""
     member = operators.Member()
--- a/tests/test_operator_walks.py
+++ b/tests/test_operator_walks.py
@@ -3,7 +3,6 @@
 import itertools
 
 import hypothesis
-import hypothesis.strategies as strategies
 import pytest
 
 import tests.operators as operators
@@ -15,15 +14,7 @@
 
 
 @STEADY
-@hypothesis.given(
-    strategies.lists(
-        strategies.tuples(
-            strategies.sampled_from(["at once", "late", "lost", "unsure", "stuck", "come"]),
-            strategies.integers(0, 7),
-        ),
-        max_size=30,
-    )
-)
+@hypothesis.given(operators.ACTS)
 def test_no_taken_order_is_refused_and_no_number_is_acknowledged_twice(acts):
     """Eight orders of two operators, sent and sent again while majority, disk and commits come and go."""
     member = operators.Member()
