--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -162,18 +162,6 @@
         """Raises Full if a prompt that this writer read by itself would come to its aim too late."""
         self.admit(ask, writer, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
 
-    def overflows(self, ask: typing.Any, reader: str, unread: int, lone: str, writers: list[str]) -> bool:
-        """Whether the readers' queues are too long for a prompt, and a writer's is not."""
-        try:
-            self.admit(ask, reader, self.pace(reader), unread, writers)
-        except pair_module.Full:
-            try:
-                self.admit_alone(ask, lone, writers)
-            except pair_module.Full:
-                return False
-            return True
-        return False
-
     def pair(self, sequence, document, pool, ask, without=(), alone=False):
         """A Pair with both places taken, or None. alone: without a reader."""
         row = document["pools"][pool]
@@ -193,7 +181,7 @@
                 self.admit_alone(ask, lone, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
             reader, unread, expected = self.reader(readers, ask)
-            if self.by_itself(ask, expected, time) or self.overflows(ask, reader, unread, lone, writers):
+            if self.by_itself(ask, expected, time):
                 self.admit_alone(ask, lone, writers)
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
             self.admit(ask, reader, self.pace(reader), unread, writers)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -84,9 +84,6 @@
     "admission by the readers' queue": constants(ADMIT_SHARE="1e9"),
     "waiting for a place": constants(PLACE_SHARE="0.0", PLACE_LEAST="0.0"),
     "short readings first": constants(READ_SHORT="1e9"),
-    "writer reads where readers' queues are too long": Mechanism(
-        (Line(PLACING, " or self.overflows(ask, reader, unread, lone, writers)", ""),)
-    ),
     "short prompts read by their writer": constants(PROMPT_SHORT="0"),
     "replicas of the own zone": constants(FAR_COST="0.0"),
     "extra sends (retry budget)": constants(BUDGET_SHARE="0.0", SLACK_SHARE="0.0"),
