Routers count streams that stood still for too long, by where they did

Counters late_pause_replica and late_pause_caller: the pause between two events of a stream was longer than its route's pause_s while the next event was awaited, or while the last one was passed on. A route without pause_s has none.

--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -17,6 +17,7 @@
 import mothshed.common.web as web
 import mothshed.data_plane.delivery_sends as delivery_sends
 import mothshed.data_plane.pair as pair_module
+import mothshed.data_plane.pauses as pauses_module
 import mothshed.data_plane.place_wait as place_wait
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.stage_times as stage_times
@@ -42,6 +43,7 @@
         self.pair = self.handle = self.reply = None
         self.selector = {}  # of the replicas that the pair was taken from
         self.times = stage_times.StageTimes(self.desk.now)
+        self.pauses = pauses_module.Pauses(self.desk.now, self.route.get("pause_s"))
 
     def left(self):
         left = self.ask.cutoff - self.desk.now()
@@ -49,8 +51,6 @@
             raise verdict.SendFailure(NOT_RUN, "cutoff passed")
         return left
 
-    # --- the way there ----------------------------------------------------
-
     def start(self):
         """(reply, first event, its id, the rest) with the reply's head; raises Bounce or RequestFailure."""
         while True:
@@ -189,13 +189,12 @@
             self.router.placing.parts.add(name, self.ask.parts)
         return reply, first, number, rows
 
-    # --- the way back -----------------------------------------------------
-
     def body(self, begun):
         """The events as they come; what breaks is taken up elsewhere where that is allowed."""
         reply, first, number, rows = begun
         self.last = number or self.last
-        yield first
+        with self.pauses.watch(pauses_module.Cause.CALLER):
+            yield first
         while True:
             try:
                 yield from self.following(rows)
@@ -215,14 +214,16 @@
                     span = min(span, constants.SILENT_NEXT)
                 self.reply.patience(span)
             try:
-                event, number = next(rows)
+                with self.pauses.watch(pauses_module.Cause.REPLICA):
+                    event, number = next(rows)
             except StopIteration:
                 return
             if number is not None:
                 if self.last is not None and number <= self.last:
                     raise verdict.StreamBroken("an event came twice")
                 self.last = number
-            yield event
+            with self.pauses.watch(pauses_module.Cause.CALLER):
+                yield event
 
     def take_up(self):
         """The rest of a broken resumable stream, from another replica; StreamBroken if there is none."""
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -57,3 +57,8 @@
         longest = self.times.longest()
         if longest:
             self.router.journal.add("late", outcome=longest.value, request=self.ask.id)
+
+    def note_pauses(self) -> None:
+        """Count a stream that stood still for longer than its route allows, by where it did."""
+        for cause in self.pauses.found:
+            self.router.journal.add("late", outcome=cause.value, request=self.ask.id)
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -174,5 +174,6 @@
             self.open = False
             self.rows.close()
             self.way.let_go()
+            self.way.note_pauses()
             self.router.leave()
             self.router.journal.add("delivery", outcome=self.outcome, request=self.way.ask.id)
