test_open_disk injects its sleep: time.sleep was replaced for every thread of the process

It replaced time.sleep itself by a list's append.

open_disk takes the sleep as an argument; the test passes its own, which also ends a disk that refuses for ever. The assertions are as they were.

--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -4,6 +4,7 @@
 the platform, is up sooner and smaller without it.
 """
 
+import collections.abc
 import os
 import signal
 import sys
@@ -48,8 +49,11 @@
     threading.Thread(target=server.safe_start, daemon=True).start()
 
 
-def open_disk(folder: str) -> disk_module.Disk:
-    """The data folder, once it takes writes; raises DiskFault if there is no such folder to be had."""
+def open_disk(folder: str, sleep: collections.abc.Callable[[float], None] = time.sleep) -> disk_module.Disk:
+    """The data folder, once it takes writes; raises DiskFault if there is no such folder to be had.
+
+    sleep: waits so many seconds between two tries.
+    """
     disk = disk_module.Disk(folder)
     while True:
         try:
@@ -57,7 +61,7 @@
             return disk
         except disk_module.DiskFault as fault:
             ring.note("disk_refuses", reason=str(fault))
-            time.sleep(constants.DISK_RETRY)
+            sleep(constants.DISK_RETRY)
 
 
 def start_anew():
--- a/tests/test_open_disk.py
+++ b/tests/test_open_disk.py
@@ -9,6 +9,11 @@
 
 def test_a_start_waits_for_a_disk_that_refuses(tmp_path, monkeypatch):
     refusals, pauses = [True] * 3, []
+
+    def sleep(seconds):
+        pauses.append(seconds)
+        assert len(pauses) < 10, "the disk goes on refusing"
+
     put = disk_module.Disk.put
 
     def refuse(self, name, data):
@@ -18,8 +23,7 @@
         return put(self, name, data)
 
     monkeypatch.setattr(disk_module.Disk, "put", refuse)
-    monkeypatch.setattr(serving.time, "sleep", pauses.append)
-    disk = serving.open_disk(str(tmp_path / "data"))
+    disk = serving.open_disk(str(tmp_path / "data"), sleep)
     assert pauses == [constants.DISK_RETRY] * 3
     assert disk.read("probe") == b"."
 
