--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -12,6 +12,7 @@
 
 import json
 import struct
+import typing
 import zlib
 
 import mothshed.common.constants as constants
@@ -38,7 +39,7 @@
     "join_ask": "part:q who:s address:s http:s",
     "vote_ask": "part:q term:q who:s last:q last_term:q trial:? handed:?",
     "vote_say": "part:q term:q who:s granted:? trial:?",
-    "append": "part:q term:q who:s prev:q prev_term:q commit:q round:q entries:j",
+    "append": "part:q term:q who:s prev:q prev_term:q commit:q round:q echoed:q confirmed:q entries:j",
     "append_say": "part:q term:q who:s good:? match:q round:q",
     "snap": "part:q term:q who:s index:q index_term:q offset:q total:q checksum:q piece:s",
     "snap_say": "part:q term:q who:s index:q offset:q done:?",
@@ -61,6 +62,18 @@
     """A record whose mark, kind, length, checksum or body is wrong."""
 
 
+def check_fields(kind: str, body: dict[str, typing.Any]) -> None:
+    """Raise RecordFault if a body has a field too few, or one that its kind does not carry.
+
+    >>> check_fields("hand", {"part": 0, "term": 1, "who": "a/1", "round": 2})
+    Traceback (most recent call last):
+    mothshed.common.records.RecordFault: hand carries part, term, who, not part, round, term, who
+    """
+    carried = sorted(name for name, _code in SHAPES[kind])
+    if sorted(body) != carried:
+        raise RecordFault(f"{kind} carries {', '.join(carried)}, not {', '.join(sorted(body))}")
+
+
 def pack(kind, **body):
     parts = []
     for name, code in SHAPES[kind]:
--- a/mothshed/common/settings.py
+++ b/mothshed/common/settings.py
@@ -58,6 +58,9 @@
         voluptuous.Optional("catch_up_s"): voluptuous.All(
             voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=600)
         ),
+        voluptuous.Optional("in_force_s"): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=600)
+        ),
         voluptuous.Optional("tenure_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
         voluptuous.Optional("linger_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60)),
         voluptuous.Optional("drain_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -4,16 +4,18 @@
 it answers the asks of those that serve (each after a majority confirmed it),
 pushes numbered news, counts acknowledgements and activates a staged document
 once every leaseholder it may have has staged it or lapsed. The timing argument
-is in docs/configuration.md. A new leader knows neither the leaseholders nor when
-a staged document was acknowledged: it grants no older lease at all until the
-document is active, and before that waits until its predecessors' leases have run out.
+is in docs/configuration.md. A new leader does not know the leaseholders: it activates
+nothing before its predecessors' leases have run out. It grants older leases for as long
+as it can prove that what was staged then is not acknowledged for too long.
 """
 
 import json
+import math
 import typing
 
 import mothshed.common.constants as constants
 import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.leaseholder as leaseholder
 import mothshed.control_plane.taken_orders as taken_orders
 
@@ -26,13 +28,15 @@
         self.sizes = {}  # sequence -> bytes of that row as JSON
         self.taken = taken_orders.TakenOrders()
         self.latest = self.active = 0
+        self.staged_index = {}  # sequence not active yet -> index of its entry; None where only a snapshot tells of it
         self.changed = lambda kind, sequence: None
 
     def apply(self, index, command):
         if command["op"] == "stage":
-            return self.stage(command)
+            return self.stage(index, command)
         if command["op"] == "activate" and self.active < command["sequence"] in self.docs:
             self.active = command["sequence"]
+            self.staged_index = {s: at for s, at in self.staged_index.items() if s > self.active}
             self.drop_documents()
             self.changed("activate", self.active)
         return {"active": self.active}
@@ -54,13 +58,14 @@
         """The newest document that was accepted, or None before the first; the record always holds it."""
         return self.docs[self.latest]["doc"] if self.latest else None
 
-    def stage(self, command):
+    def stage(self, index, command):
         known = self.known_result(command)
         if known:
             return known
         self.latest = command.get("sequence", self.latest + 1)
         self.docs[self.latest] = {"doc": command["doc"], "by": command["by"], "id": command["id"]}
         self.taken.add(command["id"], self.latest)
+        self.staged_index[self.latest] = index
         self.drop_documents()
         self.changed("stage", self.latest)
         return {"sequence": self.latest}
@@ -95,6 +100,7 @@
     def restore(self, state):
         self.latest, self.active = state["latest"], state["active"]
         self.docs, self.sizes = {int(s): row for s, row in state["docs"]}, {}
+        self.staged_index = {self.latest: None} if self.latest > self.active else {}
         self.taken = taken_orders.TakenOrders()
         if "taken" in state:
             self.taken.restore(state["taken"])
@@ -105,12 +111,12 @@
 
 
 class ConfigDuty:
-    def __init__(self, member):
+    def __init__(self, member, bounds=None):
+        self.bounds = bounds or lease_bounds.LeaseBounds()
         self.member, self.machine, self.desk = member, member.machine, member.desk
         self.on = False
         self.holders = {}  # address -> leaseholder.Leaseholder
-        self.staged_at = {}  # sequence -> when it was committed under this leader
-        self.inherited = 0  # the newest sequence at the start of this ownership
+        self.staged_at = {}  # sequence not active yet -> a moment at or before its commit; -inf if none is known
         self.acks = {}  # news number -> addresses
         self.number = 0
         self.asking = False
@@ -122,17 +128,23 @@
 
     def start(self):
         self.on, self.asking = True, False
-        self.holders, self.staged_at, self.acks = {}, {}, {}
-        self.inherited = self.machine.latest
+        self.holders, self.acks = {}, {}
+        inherited = {s: index for s, index in self.machine.staged_index.items() if s > self.machine.active}
+        self.staged_at = {s: self.committed_since(index) for s, index in inherited.items()}
         self.number = self.member.log.term * 1000000
         self.started = self.desk.now()
-        self.activates_from = self.member.former_leases_end(constants.LEASE_LONG)
+        self.activates_from = self.member.former_leases_end(self.bounds.long_s)
         for address, (at, mark) in self.lost.items():
             if at > self.started - constants.LEASE_LONG:
                 self.desk.tell(address, "look_elsewhere", part=0, mark=mark, leader=self.desk.address)
         self.lost = {}
         self.tick()
 
+    def committed_since(self, index: int | None) -> float:
+        """A moment before which an inherited entry was not committed, and so not acknowledged; -inf if not known."""
+        moment = None if index is None else self.member.not_committed_before(index)
+        return -math.inf if moment is None else float(moment)
+
     def stop(self):
         self.on = False
 
@@ -180,10 +192,8 @@
     def length(self):
         machine, now = self.machine, self.desk.now()
         if machine.latest == machine.active:
-            return constants.LEASE_LONG
-        if machine.active < self.inherited:  # staged under another leader: acknowledged nobody knows when
-            return 0.0
-        if now > min(self.staged_at.values(), default=0.0) + constants.OLD_GRANTS:
+            return self.bounds.long_s
+        if now > min(self.staged_at.values(), default=-math.inf) + self.bounds.older_s:
             return 0.0
         return constants.LEASE_SHORT
 
--- a/mothshed/control_plane/following.py
+++ b/mothshed/control_plane/following.py
@@ -6,6 +6,7 @@
 
 import typing
 
+import mothshed.control_plane.commit_moments as commit_moments
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
 
@@ -13,8 +14,9 @@
     """How a member obeys a leader."""
 
     def start_following(self) -> None:
-        """Makes ready to collect a snapshot."""
+        """Makes ready to collect a snapshot, and proofs of what was not committed yet."""
         self.collector = snapshot_transfer.Collector()
+        self.commit_moments = commit_moments.CommitMoments()
 
     def on_append(self, sender: str, body: dict[str, typing.Any]) -> None:
         """A leader's entries, or none, with its commit index; answered with what is held."""
@@ -31,6 +33,14 @@
             )
             return
         self.follow(body, sender)
+        self.commit_moments.received(
+            body["term"],
+            body["round"],
+            body["echoed"],
+            body["confirmed"],
+            body["commit"],
+            self.desk.now(),
+        )
         good, match = self.take_entries(body["prev"], body["prev_term"], body["entries"])
         if good and min(body["commit"], match) > self.commit:
             self.commit = min(body["commit"], match)
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -14,6 +14,7 @@
 import mothshed.common.replicas as replicas_module
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.list_duty as list_duty
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.orders as orders
@@ -78,7 +79,9 @@
             duty = (
                 orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech, settings.get("tenure_s"))
                 if part
-                else config_part.ConfigDuty(seat)
+                else config_part.ConfigDuty(
+                    seat, lease_bounds.LeaseBounds(settings.get("in_force_s", constants.IN_FORCE))
+                )
             )
             seat.failed = self.disk_failed
             if speech and part == constants.LIST_PART:
--- /dev/null
+++ b/mothshed/control_plane/lease_bounds.py
@@ -0,0 +1,28 @@
+"""How long leases of the configuration may last, from the time in which a new one has to be in force."""
+
+import dataclasses
+
+import mothshed.common.constants as constants
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseBounds:
+    """Bounds on leases; in_force_s: seconds after its acknowledgement in which a configuration is in force.
+
+    >>> LeaseBounds(2.0).long_s, round(LeaseBounds(2.0).older_s, 2)
+    (1.4, 1.6)
+    >>> round(LeaseBounds(2.5).older_s, 2), round(LeaseBounds(1.0).long_s, 2)
+    (2.1, 0.78)
+    """
+
+    in_force_s: float = constants.IN_FORCE
+
+    @property
+    def long_s(self) -> float:
+        """Seconds of a lease while no change is under way."""
+        return min(constants.LEASE_LONG, self.in_force_s - constants.IN_FORCE_MARGIN)
+
+    @property
+    def older_s(self) -> float:
+        """Seconds after an acknowledgement for which short leases of an older configuration may be granted."""
+        return max(0.0, self.in_force_s - constants.IN_FORCE_MARGIN - constants.LEASE_SHORT)
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -180,6 +180,11 @@
         keep = max(self.log.base, self.applied - constants.KEEP_BEHIND)
         self.log.put_snap(snap, keep)
 
+    def not_committed_before(self, index: int) -> float | None:
+        """The latest moment on this clock before which an entry surely was not committed; None if not known."""
+        term = self.log.term_at(index)
+        return None if term is None else self.commit_moments.not_committed_before(term, index)
+
     def lose(self):
         """No longer leader: waiting writes are unknown, waiting reads fail."""
         waits, self.waits = self.waits, {}
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -19,6 +19,7 @@
 
     def start_replication(self):
         self.round, self.sent_at = 0, {}
+        self.confirmed_round = 0  # the newest that a majority has echoed
         self.progress = {}  # member or learner id -> Progress
         self.confirms = []
         self.spread_at = -1.0
@@ -71,6 +72,8 @@
             prev_term=self.log.term_at(previous) or 0,
             commit=self.commit,
             round=self.round,
+            echoed=progress.round,
+            confirmed=self.confirmed_round,
             entries=entries,
         )
         if entries:
@@ -157,6 +160,7 @@
         seen = {member: progress.round for member, progress in self.progress.items()}
         seen[self.who] = self.round
         sure = self.membership.agreed(seen)
+        self.confirmed_round = max(self.confirmed_round, sure)
         if sure in self.sent_at:
             self.sure_until = max(self.sure_until, self.sent_at[sure] + constants.VOTE_HOLD - constants.LEASE_SLACK)
         due = [c for c in self.confirms if c[0] <= sure]
--- a/tests/all_orders.py
+++ b/tests/all_orders.py
@@ -9,6 +9,7 @@
 import random
 import types
 
+import mothshed.common.records as records
 import tools.simulator.desk as desk_module
 
 
@@ -47,6 +48,7 @@
 
     def tell(self, goal, kind, **body):
         if goal:
+            records.check_fields(kind, body)  # what a record does not carry would be lost on the way
             self.pool.waiting.append((goal, self.address, kind, body))
 
     def hear(self, kind, call, part=None):
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -5,6 +5,8 @@
 bring the group to rest at the end to see whether what was acknowledged is there.
 """
 
+import itertools
+
 import mothshed.common.constants as constants
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.reconfiguration as reconfiguration
@@ -41,6 +43,8 @@
         self.history, self.leaders, self.acknowledged = {}, {}, []
         self.seats, self.disks, self.marks, self.down = {}, {}, {}, set()
         self.count = 0
+        self.committed_at = {}  # index -> when a member first knew it committed
+        self.moments_proven = 0  # how many such moments were checked
         self.leases = []  # (term of the leader that a majority confirmed, when the lease was asked for)
         names = [chr(ord("A") + n) for n in range(size)]
         voters = {f"{name}/1": {"address": self.address(name), "http": ""} for name in names}
@@ -122,7 +126,21 @@
                 left = asked + constants.LEASE_LONG - end
                 assert left <= 0, f"a lease of term {term} runs {left:.2f} s past the wait of the leader of {seat.who}"
 
+    def check_commit_moments(self):
+        """What a member takes for the earliest moment at which an entry was committed is no later than it was."""
+        running = [seat for name, seat in self.seats.items() if name not in self.down]
+        for seat in running:
+            for index in range(1, seat.commit + 1):
+                self.committed_at.setdefault(index, self.pool.time)
+        for seat, index in itertools.product(running, self.committed_at):
+            moment = seat.not_committed_before(index)
+            if moment is not None:
+                self.moments_proven += 1
+                late_s = moment - self.committed_at[index]
+                assert late_s <= 0, f"{seat.who} takes index {index} for committed {late_s:.2f} s after it was"
+
     def check(self):
+        self.check_commit_moments()
         for name, seat in self.seats.items():
             if name not in self.down and seat.is_leader:
                 known = self.leaders.setdefault(seat.log.term, seat.who)
--- a/tests/test_delivery_parts.py
+++ b/tests/test_delivery_parts.py
@@ -105,6 +105,9 @@
     def former_leases_end(self, lease_s):
         return self.desk.now() + lease_s + constants.LEASE_SLACK
 
+    def not_committed_before(self, index):
+        return None  # nothing is known of another leader's time
+
 
 def duty_of(pool, *sequences):
     """A duty whose machine has these, the first of them active; it has waited out its start."""
@@ -150,7 +153,7 @@
     duty.holders["r:1"] = leaseholder.Leaseholder(until=pool.time + 100, staged=5)  # one that never says that it has it
     duty.machine.apply(0, stage(5, 40, "b"))
     assert duty.machine.active == 5 and duty.length() == constants.LEASE_SHORT
-    pool.time += constants.OLD_GRANTS + 0.01
+    pool.time += duty.bounds.older_s + 0.01
     assert duty.length() == 0.0
     duty.holders.clear()
     duty.try_activate()
--- a/tests/test_lease_state.py
+++ b/tests/test_lease_state.py
@@ -41,6 +41,9 @@
     def former_leases_end(self, lease_s):
         return self.desk.now() + lease_s + constants.LEASE_SLACK
 
+    def not_committed_before(self, index):
+        return None  # nothing is known of another leader's time
+
 
 def deployment(routers=2):
     """A pool, the duty on its leader, and leases that hold sequence 1."""
@@ -159,7 +162,7 @@
             activated.setdefault(number, pool.time)
         for lease, (number, at) in itertools.product(leases, acknowledged.items()):
             if lease.active < number:
-                assert lease.until <= at + constants.OLD_GRANTS + constants.LEASE_SHORT + 1e-9
+                assert lease.until <= at + duty.bounds.older_s + constants.LEASE_SHORT + 1e-9
         for lease, (number, at) in itertools.product(leases, activated.items()):
             if lease.active < number:
                 assert lease.until <= at + constants.LEASE_SHORT + 1e-9
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -150,6 +150,9 @@
     def former_leases_end(self, lease_s):
         return self.desk.now() + lease_s + constants.LEASE_SLACK
 
+    def not_committed_before(self, index):
+        return None  # nothing is known of another leader's time
+
 
 def test_stage_activate_and_lapse_in_any_order():
     """However records, losses and time fall: once a document is active, no older lease outlasts LEASE_SHORT."""
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -182,3 +182,13 @@
     done = run(["-c", code, json.dumps(SETTINGS), spoiled(**more)], {"PYTHONPATH": paths})
     plain, odd = json.loads(done.stdout)
     assert plain == odd and plain["http"] == "127.0.0.1:20001" and plain["list_url"] == "http://127.0.0.1:20003"
+
+
+def test_the_guarantees_become_bounds_of_our_own():
+    said = spoiled(guarantees={"edition_ms": 2500, "tenure_ms": 3000, "grace_s": 8})
+    code = "import json, sys, node_settings as n; print(json.dumps([n.translate(json.loads(t)) for t in sys.argv[1:]]))"
+    paths = os.pathsep.join([str(ROOT), str(ROOT / "platform")])
+    done = run(["-c", code, said, spoiled(guarantees={})], {"PYTHONPATH": paths})
+    named, unnamed = json.loads(done.stdout)
+    assert (named["in_force_s"], named["tenure_s"]) == (2.5, 3.0)
+    assert "in_force_s" not in unnamed and "tenure_s" not in unnamed
--- a/tools/simulator/network.py
+++ b/tools/simulator/network.py
@@ -55,6 +55,7 @@
         return due - self.loop.time
 
     def tell(self, machine, sender, goal, kind, body):
+        records.check_fields(kind, body)  # what a record does not carry would be lost on the way
         data = records.pack(kind, **body)
         other = self.machines.get(goal)
         if other is None or not machine.alive or not self.open(machine, other):
