--- a/mothshed/data_plane/pair.py
+++ b/mothshed/data_plane/pair.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import mothshed.common.replicas as replicas
+
 
 @dataclasses.dataclass
 class Pair:
@@ -9,11 +11,11 @@
 
     sequence: int
     pool: str
-    reader: object  # Place or None
-    writer: object  # Place
-    unread: int  # prompt tokens that the reader is expected to read
+    reader: replicas.Place | None
+    writer: replicas.Place
+    unread: float  # prompt tokens that the reader is expected to read
     expected: float  # s until the prompt is read
-    queued: int = 0  # tokens already there to be read when it was placed
+    queued: float = 0  # tokens already there to be read when it was placed
     rank: int = 0  # of the reading: 0 goes first
     done: bool = False  # the reader's place is given back
 
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -9,33 +9,37 @@
 """
 
 import collections
-import hashlib
+import collections.abc
 import threading
 import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.pools as pools
+import mothshed.common.replica_load as replica_load
 import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.prompt_parts as prompt_parts
 
-
-def weight(key, name):
-    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
+Ask = typing.Any  # a delivered request as the route's front read it
+Document = dict[str, typing.Any]  # a configuration
+Reading = tuple[str, int, float]  # the replica, tokens it has to read, s until it has read them
 
 
 class Placing:
-    def __init__(self, desk, replicas, cell):
-        self.desk, self.replicas, self.cell = desk, replicas, cell
+    """One router's choice of readers and writers, and what it knows to be under way at each replica."""
+
+    def __init__(self, desk: typing.Any, replicas: typing.Any, zone: str) -> None:
+        self.desk, self.replicas, self.zone = desk, replicas, zone
         self.lock = threading.RLock()
         self.parts = prompt_parts.Parts()
-        self.reading = collections.defaultdict(lambda: [0] * constants.RANKS)
         # name -> tokens this router has it read, by rank
-        self.others = {}  # part -> (when told, what all other routers have at its replicas)
+        self.reading: dict[str, list[float]] = collections.defaultdict(lambda: [0] * constants.RANKS)
+        # part -> (when reported, what all other routers have at its replicas)
+        self.others: dict[int, tuple[float, replica_load.Loads]] = {}
         self.outcomes = outcomes.Outcomes(desk.now)
-        self.paces = {}  # name -> tokens/s as measured
+        self.paces: dict[str, float] = {}  # name -> tokens/s as measured
 
-    def take_others(self, part, rows):
+    def take_others(self, part: int, rows: replica_load.Loads) -> None:
         """What all other routers have at a part's replicas, as its leader adds it up."""
         now = self.desk.now()
         with self.lock:
@@ -46,24 +50,25 @@
 
     def running(self, name: str) -> float:
         """Requests that all routers have at a replica, as far as is known."""
-        return self.replicas.mine.get(name, 0) + sum(load.requests for load in self.told(name))
+        return float(self.replicas.mine.get(name, 0) + sum(load.requests for load in self.reported(name)))
 
     def being_read(self, name: str) -> float:
         """Prompt tokens that all routers have being read at a replica, as far as is known."""
         return sum(self.queued(name))
 
-    def told(self, name):
-        """What others were last said to have at a replica, unless that is too old."""
+    def reported(self, name: str) -> list[replica_load.ReplicaLoad]:
+        """What others were last reported to have at a replica, unless that is too old."""
         now = self.desk.now()
         return [rows[name] for when, rows in self.others.values() if name in rows and now - when < constants.USAGE_LIFE]
 
-    def queued(self, name):
+    def queued(self, name: str) -> list[float]:
         """Tokens being read at a replica over all routers, by rank."""
-        return [sum(t) for t in zip(self.reading[name], *(load.reading for load in self.told(name)))]
+        others = [load.reading for load in self.reported(name)]
+        return [sum(tokens) for tokens in zip(self.reading[name], *others, strict=True)]
 
     def pace(self, name: str) -> float:
         """Tokens a second that a replica reads."""
-        return self.paces.get(name, constants.READ_PACE)
+        return self.paces.get(name, float(constants.READ_PACE))
 
     def measured(self, name: str, tokens: float, queued: float, span: float) -> None:
         """A prefill of so many unread tokens took span seconds; those that queued say nothing of the pace."""
@@ -72,22 +77,24 @@
             pace = min(max(pace, constants.READ_PACE / 4), constants.READ_PACE * 1.25)
             self.paces[name] = 0.8 * self.pace(name) + 0.2 * pace
 
-    def unread(self, name, ask, home):
+    def unread(self, name: str, ask: Ask, home: str | None) -> int:
+        """Tokens of a prompt that a replica has to read: all but the parts that it keeps, or its home is to keep."""
         held = self.parts.held(name, ask.parts)
         if name == home:
-            held = max(held, sum(t for k, t in ask.parts[:-1]))
-        return max(0, ask.tokens - held)
+            held = max(held, sum(tokens for _key, tokens in ask.parts[:-1]))
+        return int(max(0, ask.tokens - held))
 
-    def home(self, names, ask):
-        """Where the prompt's shared parts belong."""
-        shared = [k for k, t in ask.parts[:-1]]
-        return max(names, key=lambda n: weight(shared[-1], n)) if shared and names else None
+    def home(self, names: list[str], ask: Ask) -> str | None:
+        """Where the prompt's shared parts belong; None if it has none."""
+        shared = ask.parts[:-1]
+        return prompt_parts.home(shared[-1][0], names) if shared and names else None
 
-    def far(self, name, cell):
-        return 0.0 if self.replicas.rows[name]["cell"] == cell else constants.FAR_COST
+    def far(self, name: str, zone: str) -> float:
+        """Seconds by which a replica is dearer for not being in a zone."""
+        return 0.0 if self.replicas.rows[name]["cell"] == zone else constants.FAR_COST
 
-    def reader(self, names, ask):
-        """(name, tokens unread, s until the prompt is read) of the soonest."""
+    def reader(self, names: list[str], ask: Ask) -> Reading:
+        """The reader that would have read the prompt soonest."""
         home, rows = self.home(names, ask), []
         for name in names:
             unread = self.unread(name, ask, home)
@@ -95,44 +102,44 @@
             time = self.wait(name, self.pace(name), self.rank(ask, alone)) + alone
             again = max(0, unread - (ask.parts[-1][1] if ask.parts else unread))  # shared parts read anew
             dear = constants.AGAIN_COST * again / self.pace(name)
-            rows.append((time + dear + self.far(name, self.cell), name, unread, time))
-        return min(rows)[1:]
-
-    def writer(self, names, cell):
-        """The one with the least running; among about equals one in the cell, and none without a free slot."""
-        free = [n for n in names if self.has_free_slot(n)]
-        run = {n: self.running(n) for n in free or names}
-        few = min(run.values())
-        near = [n for n in run if run[n] <= few + 1 + few // 4]
-        return min(near, key=lambda n: (self.far(n, cell), run[n], self.desk.random.random()))
-
-    def alone(self, names, ask):
-        """(name, s until read) of the writer that would have read the prompt by itself soonest."""
+            rows.append((time + dear + self.far(name, self.zone), (name, unread, time)))
+        return min(rows)[1]
+
+    def writer(self, names: list[str], zone: str) -> str:
+        """The one with the least running; among about equals one in the zone, and none without a free slot."""
+        free = [name for name in names if self.has_free_slot(name)]
+        running = {name: self.running(name) for name in free or names}
+        fewest = min(running.values())
+        about_equal = [name for name in running if running[name] <= fewest + 1 + fewest // 4]
+        return min(about_equal, key=lambda name: (self.far(name, zone), running[name], self.desk.random.random()))
+
+    def alone(self, names: list[str], ask: Ask) -> tuple[str, float]:
+        """The writer that would have read the prompt by itself soonest, and after how many seconds."""
         rows = []
         for name in names:
             unread = max(0, ask.tokens - self.parts.held(name, ask.parts)) + self.being_read(name)
             time = unread / (constants.WRITER_PACE * constants.READ_PACE) + constants.READ_BASE
-            rows.append((time + self.running(name) * constants.RUN_COST + self.far(name, self.cell), name, time))
-        return min(rows)[1:]
+            rows.append((time + self.running(name) * constants.RUN_COST + self.far(name, self.zone), (name, time)))
+        return min(rows)[1]
 
-    def by_itself(self, ask, handed, alone):
+    def by_itself(self, ask: Ask, handed: float, alone: float) -> bool:
         """Whether the writer shall read: a short prompt, and it is sooner."""
-        return ask.tokens <= constants.PROMPT_SHORT and alone < handed
+        return bool(ask.tokens <= constants.PROMPT_SHORT and alone < handed)
 
-    def rank(self, ask, alone):
+    def rank(self, ask: Ask, alone: float) -> int:
         """Short readings first: they hold nobody up. Then those with little time to spare, then the rest."""
         if alone <= constants.READ_SHORT:
             return 0
         spare = ask.route.get("aim_s", constants.ADMIT_USUAL) - alone - constants.READ_REST
         return 1 if 0 <= spare < constants.READ_TIGHT else 2
 
-    def wait(self, name, pace, rank):
+    def wait(self, name: str, pace: float, rank: int) -> float:
         """Seconds until what goes before a reading of this rank is read at a replica."""
         return sum(self.queued(name)[: rank + 1]) / pace
 
     def has_free_slot(self, name: str) -> bool:
         """Whether fewer requests are known to be at a replica than it has slots."""
-        return self.running(name) < self.replicas.rows[name]["slots"]
+        return bool(self.running(name) < self.replicas.rows[name]["slots"])
 
     def require_free_slot(self, names: list[str]) -> None:
         """Raises Full if every one of these replicas is known to have all its slots taken."""
@@ -147,10 +154,10 @@
 
     def ended(self, name: str) -> outcomes.Ended:
         """How requests ended at a replica lately, over all routers as far as is known."""
-        told = (outcomes.Ended(load.answered, load.failed) for load in self.told(name))
-        return sum(told, self.outcomes.of(name))
+        others = (outcomes.Ended(load.answered, load.failed) for load in self.reported(name))
+        return sum(others, self.outcomes.of(name))
 
-    def admit(self, ask, name, pace, unread, writers):
+    def admit(self, ask: Ask, name: str, pace: float, unread: float, writers: list[str]) -> None:
         """Raises Full if a prompt that joined the queue now would come to its aim too late."""
         self.require_free_slot(writers)
         wait = self.wait(name, pace, self.rank(ask, unread / pace))
@@ -158,22 +165,30 @@
         if wait > most:
             raise pair_module.Full(wait - most)
 
-    def admit_alone(self, ask: typing.Any, writer: str, writers: list[str]) -> None:
+    def admit_alone(self, ask: Ask, writer: str, writers: list[str]) -> None:
         """Raises Full if a prompt that this writer read by itself would come to its aim too late."""
         self.admit(ask, writer, constants.WRITER_PACE * constants.READ_PACE, ask.tokens, writers)
 
-    def pair(self, sequence, document, pool, ask, without=(), alone=False):
+    def pair(
+        self,
+        sequence: int,
+        document: Document,
+        pool: str,
+        ask: Ask,
+        without: collections.abc.Container[str] = (),
+        alone: bool = False,
+    ) -> pair_module.Pair | None:
         """A Pair with both places taken, or None. alone: without a reader."""
         row = document["pools"][pool]
         with self.lock, self.replicas.lock:
             writers = self.replicas.usable(row["selector"], pools.serving_role(row))
             if not writers:
                 return None
-            writers = self.not_failing([n for n in writers if n not in without] or list(writers))
+            writers = self.not_failing([name for name in writers if name not in without] or list(writers))
             if not pools.has_split(row) or not ask.tokens:  # nothing to read ahead
                 self.require_free_slot(writers)
-                return self.take(sequence, pool, ask, None, self.writer(writers, self.cell), 0, 0.0)
-            readers = [n for n in self.replicas.usable(row["selector"], "prefill") if n not in without]
+                return self.take(sequence, pool, ask, None, self.writer(writers, self.zone), 0, 0.0)
+            readers = [name for name in self.replicas.usable(row["selector"], "prefill") if name not in without]
             lone, time = self.alone(writers, ask)
             if alone:
                 return self.take(sequence, pool, ask, None, lone, ask.tokens, time)
@@ -188,22 +203,27 @@
             writer = self.writer(writers, self.replicas.rows[reader]["cell"])
             return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
-    def change_writer(self, pair, document, without=()):
+    def change_writer(
+        self, pair: pair_module.Pair, document: Document | None, without: collections.abc.Container[str] = ()
+    ) -> None:
         """Moves a pair to another usable writer of its pool; leaves it as it is where there is none."""
         row = (document or {"pools": {}})["pools"].get(pair.pool)
         if row is None:
             return
         with self.lock, self.replicas.lock:
             writers = self.replicas.usable(row["selector"], pools.serving_role(row))
-            writers = [n for n in writers if n not in without] or list(writers)
+            writers = [name for name in writers if name not in without] or list(writers)
             if not writers:
                 return
-            name = self.writer(writers, pair.reader.cell if pair.reader else self.cell)
+            name = self.writer(writers, pair.reader.cell if pair.reader else self.zone)
             self.replicas.end(pair.writer.name)
             self.replicas.begin(name)
             pair.writer = self.replicas.place(name)
 
-    def take(self, sequence, pool, ask, reader, writer, unread, expected):
+    def take(
+        self, sequence: int, pool: str, ask: Ask, reader: str | None, writer: str, unread: int, expected: float
+    ) -> pair_module.Pair:
+        """Take the places of a pair. expected: s until its prompt is read."""
         self.replicas.begin(writer)
         if reader:
             self.replicas.begin(reader)
@@ -216,7 +236,7 @@
             sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank
         )
 
-    def read(self, pair):
+    def read(self, pair: pair_module.Pair) -> None:
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
             name = (pair.reader or pair.writer).name
--- a/mothshed/data_plane/prompt_parts.py
+++ b/mothshed/data_plane/prompt_parts.py
@@ -1,12 +1,23 @@
 """Which parts of prompts replicas are believed to keep: those that this router sent there lately."""
 
 import collections
+import collections.abc
+import hashlib
 
 import mothshed.common.constants as constants
 
 Part = tuple[str, int]  # its id, and its tokens
 
 
+def home(key: str, names: collections.abc.Iterable[str]) -> str:
+    """The replica of these that a part belongs to, by a rendezvous hash: alike wherever it is worked out.
+
+    >>> home("a", ["p1", "p2"]) == home("a", ["p2", "p1"])
+    True
+    """
+    return max(names, key=lambda name: hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest())
+
+
 class Parts:
     """Which prompt parts each replica is believed to keep: those sent there lately."""
 
