--- a/mothshed/common/replica_load.py
+++ b/mothshed/common/replica_load.py
@@ -26,27 +26,30 @@
 
 @dataclasses.dataclass
 class ReplicaLoad:
-    """Sums over one or several routers; a reading that lies back counts less (answered, failed)."""
+    """Sums over one or several routers; a reading that lies back counts less (answered, failed, events)."""
 
     requests: float = 0  # requests running there
     out_s: float = 0.0  # s for which it is not to be placed upon
     answered: float = 0.0  # requests it lately answered
     failed: float = 0.0  # requests it lately failed by its own word
     reading: list[float] = dataclasses.field(default_factory=no_reading)  # prompt tokens being read, by rank
+    events: float = 0  # events of its streams that followed another one lately
+    events_s: float = 0.0  # s that they came after those
 
     def to_wire(self) -> Wire:
-        """The row as it is sent."""
-        return [self.requests, round(self.out_s, 2), *self.reading, round(self.answered, 2), round(self.failed, 2)]
+        """The row as it is sent; without the events where there are none."""
+        lately = [round(number, 2) for number in (self.answered, self.failed, self.events, self.events_s)]
+        return [self.requests, round(self.out_s, 2), *self.reading, *(lately if any(lately[2:]) else lately[:2])]
 
     @classmethod
     def from_wire(cls, row: Wire) -> "ReplicaLoad":
         """The row as it was sent; raises ValueError if it is shorter than any release sends."""
         requests, out_s, *rest = row
-        reading, ended = rest[: constants.RANKS], rest[constants.RANKS :]
+        reading, lately = rest[: constants.RANKS], rest[constants.RANKS :]
         if len(reading) < constants.RANKS:
             raise ValueError(f"a load of {len(row)} numbers")
-        answered, failed = ended[:2] if len(ended) >= 2 else (0.0, 0.0)
-        return cls(requests, out_s, answered, failed, reading)
+        answered, failed, events, events_s = (*lately, 0.0, 0.0, 0.0, 0.0)[:4]
+        return cls(requests, out_s, answered, failed, reading, events, events_s)
 
     def add(self, other: "ReplicaLoad", age: float = 0.0) -> None:
         """Count another router's row in; age: s since it was sent."""
@@ -54,8 +57,14 @@
         self.out_s = max(self.out_s, other.out_s - age)
         self.answered += other.answered
         self.failed += other.failed
+        self.events += other.events
+        self.events_s += other.events_s
         self.reading = [own + more for own, more in zip(self.reading, other.reading, strict=True)]
 
+    def without_events(self) -> "ReplicaLoad":
+        """The same load without what only the leader of the replica's part goes by."""
+        return dataclasses.replace(self, events=0, events_s=0.0)
+
     def any(self) -> bool:
         """Whether there is anything to tell."""
         return any(self.to_wire())
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -31,7 +31,7 @@
         self.order_role = speech.order_role if speech else replica_adapter.order_role
         self.gives_roles = speech is not None and speech.gives_roles
         self.says_standing = speech is None or speech.says_standing
-        self.shared_usage = usage_duty.UsageDuty(member) if speech else None
+        self.shared_usage = usage_duty.UsageDuty(member, self.service_of) if speech else None
         self.quiet = {}  # (replica, role) -> until when a taken order is not said again
         self.member, self.machine, self.desk = member, member.machine, member.desk
         self.replicas, self.lease, self.journal = replicas, lease, journal
@@ -87,6 +87,10 @@
         ahead = sorted(count, key=lambda p: (-count[p], p))
         return ours, rest, ahead.index(self.member.part) if ours else 0
 
+    def service_of(self, name: str) -> str:
+        """The service of a replica; empty once it is listed no more."""
+        return str(self.replicas.rows[name]["service"]) if name in self.replicas.rows else ""
+
     def usage_of(self, name, condition):
         if self.shared_usage:
             return self.shared_usage.usage(name, condition["role"], condition["slots"])
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -7,11 +7,14 @@
 
 import mothshed.common.constants as constants
 import mothshed.common.replica_load as replica_load
+import mothshed.control_plane.writer_capacity as writer_capacity
 
 
 class UsageDuty:
-    def __init__(self, member):
+    def __init__(self, member, service_of=lambda name: ""):
         self.member, self.desk = member, member.desk
+        self.service_of = service_of  # replica -> its service
+        self.capacities = {}  # service -> WriterCapacity
         self.reports = {}  # router -> (when, Loads)
         self.smooth = {}  # replica -> [requests, tokens being read]
         self.smoothed_at = None
@@ -31,7 +34,8 @@
             )
             return
         self.reports[sender] = (self.desk.now(), replica_load.from_wire(body["rows"]))
-        sums = replica_load.to_wire(self.sums(sender))
+        others = {name: load.without_events() for name, load in self.sums(sender).items()}
+        sums = replica_load.to_wire(others)
         self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=sums)
 
     def sums(self, but=""):
@@ -56,13 +60,29 @@
         now = self.desk.now()
         if self.smoothed_at is None or now - self.smoothed_at > constants.USAGE_BEAT:
             keep = 0.0 if self.smoothed_at is None else 0.5 ** ((now - self.smoothed_at) / constants.USAGE_HALF)
-            sums = {name: (load.requests, sum(load.reading)) for name, load in self.sums().items()}
+            loads = self.sums()
+            sums = {name: (load.requests, sum(load.reading)) for name, load in loads.items()}
             self.smooth = {
                 n: [keep * self.smooth.get(n, [0, 0])[k] + (1 - keep) * sums.get(n, [0, 0])[k] for k in (0, 1)]
                 for n in {*self.smooth, *sums}
             }
             self.smoothed_at = now
+            self.observe_writers(loads)
         run, tokens = self.smooth.get(name, (0, 0))
         if role == "prefill":
             return tokens / constants.READ_PACE, 0, constants.READ_FULL
-        return run, 0, constants.RUN_FULL * slots
+        return run, 0, self.capacity(name).full_at(slots)
+
+    def capacity(self, name: str) -> writer_capacity.WriterCapacity:
+        """What the writers of a replica's service carry."""
+        return self.capacities.setdefault(self.service_of(name), writer_capacity.WriterCapacity(self.desk.now))
+
+    def observe_writers(self, loads: replica_load.Loads) -> None:
+        """Take what the events of running streams tell, one sample for each replica with enough of them."""
+        samples: dict[str, list[tuple[float, float]]] = {}
+        for name, load in loads.items():
+            if load.events >= constants.CAPACITY_EVENTS:
+                sample = (self.smooth[name][0], load.events_s / load.events)
+                samples.setdefault(self.service_of(name), []).append(sample)
+        for service, rows in samples.items():
+            self.capacities.setdefault(service, writer_capacity.WriterCapacity(self.desk.now)).observe(rows)
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -43,6 +43,7 @@
         self.pair = self.handle = self.reply = None
         self.selector = {}  # of the replicas that the pair was taken from
         self.times = stage_times.StageTimes(self.desk.now)
+        self.event_at = None  # when the last event came from the replica that sends now
         self.pauses = pauses_module.Pauses(self.desk.now, self.route.get("pause_s"))
 
     def left(self):
@@ -187,6 +188,7 @@
         self.router.placing.outcomes.answered(name)
         if self.ask.parts:
             self.router.placing.parts.add(name, self.ask.parts)
+        self.event_at = self.desk.now()
         return reply, first, number, rows
 
     def body(self, begun):
@@ -218,6 +220,7 @@
                     event, number = next(rows)
             except StopIteration:
                 return
+            self.note_event()
             if number is not None:
                 if self.last is not None and number <= self.last:
                     raise verdict.StreamBroken("an event came twice")
--- a/mothshed/data_plane/outcomes.py
+++ b/mothshed/data_plane/outcomes.py
@@ -8,10 +8,9 @@
 
 import collections.abc
 import dataclasses
-import threading
-import typing
 
 import mothshed.common.constants as constants
+import mothshed.common.fading as fading
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,11 +26,6 @@
     def __sub__(self, other: "Ended") -> "Ended":
         return Ended(self.answered - other.answered, self.failed - other.failed)
 
-    def faded(self, span: float) -> "Ended":
-        """The same counts span seconds later."""
-        keep = 0.5 ** (span / constants.OUTCOME_HALF)
-        return Ended(self.answered * keep, self.failed * keep)
-
     def failed_share(self) -> float:
         """Failed ones of all; 0 if there are none."""
         total = self.answered + self.failed
@@ -42,35 +36,19 @@
     """This router's own counts, by replica."""
 
     def __init__(self, now: collections.abc.Callable[[], float]) -> None:
-        self.now = now
-        self.lock = threading.Lock()
-        self.counts: dict[str, tuple[float, Ended]] = {}  # name -> (when counted, counts)
+        self.counts = fading.FadingSums(now, constants.OUTCOME_HALF, kinds=2)
 
     def answered(self, name: str) -> None:
         """A request was answered there, with success or by a refusal of its content."""
-        self._add(name, Ended(answered=1.0))
+        self.counts.add(name, 1.0, 0.0)
 
     def failed(self, name: str) -> None:
         """A request failed there by the replica's own word."""
-        self._add(name, Ended(failed=1.0))
-
-    def _add(self, name: str, ended: Ended) -> None:
-        with self.lock:
-            self.counts[name] = (self.now(), self._faded(name) + ended)
-
-    def _faded(self, name: str) -> Ended:
-        when, ended = self.counts.get(name, (0.0, Ended()))
-        return ended.faded(self.now() - when)
+        self.counts.add(name, 0.0, 1.0)
 
     def of(self, name: str) -> Ended:
         """The counts of a replica as of now."""
-        with self.lock:
-            return self._faded(name)
-
-    def keep_only(self, names: typing.Container[str]) -> None:
-        """Forget replicas that are listed no more."""
-        with self.lock:
-            self.counts = {name: row for name, row in self.counts.items() if name in names}
+        return Ended(*self.counts.of(name))
 
 
 def failing(ended: collections.abc.Mapping[str, Ended]) -> list[str]:
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -58,6 +58,12 @@
         if longest:
             self.router.journal.add("late", outcome=longest.value, request=self.ask.id)
 
+    def note_event(self) -> None:
+        """Count the time from the last event to this one: it tells how many requests a writer carries."""
+        now = self.desk.now()
+        self.router.placing.event_times.add(self.pair.writer.name, 1.0, now - self.event_at)
+        self.event_at = now
+
     def note_pauses(self) -> None:
         """Count a stream that stood still for longer than its route allows, by where it did."""
         for cause in self.pauses.found:
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -14,6 +14,7 @@
 import typing
 
 import mothshed.common.constants as constants
+import mothshed.common.fading as fading
 import mothshed.common.pools as pools
 import mothshed.common.replica_load as replica_load
 import mothshed.data_plane.outcomes as outcomes
@@ -37,6 +38,7 @@
         # part -> (when reported, what all other routers have at its replicas)
         self.others: dict[int, tuple[float, replica_load.Loads]] = {}
         self.outcomes = outcomes.Outcomes(desk.now)
+        self.event_times = fading.FadingSums(desk.now, constants.OUTCOME_HALF, kinds=2)  # events, s between them
         self.paces: dict[str, float] = {}  # name -> tokens/s as measured
 
     def take_others(self, part: int, rows: replica_load.Loads) -> None:
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -29,7 +29,12 @@
                 out = max(0.0, self.replicas.doubts.get(name, 0) - now) if name in self.replicas.fails else 0.0
                 ended = self.placing.outcomes.of(name)
                 own = replica_load.ReplicaLoad(
-                    self.replicas.mine.get(name, 0), out, ended.answered, ended.failed, list(self.placing.reading[name])
+                    self.replicas.mine.get(name, 0),
+                    out,
+                    ended.answered,
+                    ended.failed,
+                    list(self.placing.reading[name]),
+                    *self.placing.event_times.of(name),
                 )
                 if own.any():
                     part[name] = own
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -83,3 +83,41 @@
     monkeypatch.setattr(election.Election, "former_leases_end", wait_without(2 * constants.VOTE_HOLD))
     with pytest.raises(AssertionError, match="^a lease of term"):
         one_loss(size, 0)
+
+
+def run_cut_off(group, former, cut_off, seconds):
+    """The leader runs and is asked for leases; these members hear nothing."""
+    addresses = {group.address(name) for name in cut_off}
+    for _ in range(round(seconds / 0.02)):
+        group.pool.time += 0.02
+        group.tick(former)
+        group.ask_lease(former)
+        for _ in range(len(group.pool.waiting)):
+            if group.pool.waiting:
+                if group.pool.waiting[0][0] in addresses:
+                    group.pool.waiting.pop(0)
+                else:
+                    group.deliver(0)
+                    group.check()
+
+
+def elect_with_the_former_leader():
+    """Of five, the former leader and two that it did not reach elect; the two that echoed it last are lost."""
+    group = group_model.Group(5, 2)
+    group.rest()
+    former = leader_of(group)
+    others = [name for name in sorted(group.seats) if name != former]
+    cut_off, lost = others[:2], others[2:]
+    settle(group, 0.5)
+    run_cut_off(group, former, cut_off, 0.8)
+    for name in lost:
+        group.crash(name)
+    run_cut_off(group, former, cut_off, 0.8)
+    assert not group.seats[former].is_leader
+    settle(group, 2.0, tuple(lost))
+    return group
+
+
+def test_leases_of_a_former_leader_that_votes_have_run_out_as_well():
+    group = elect_with_the_former_leader()
+    assert group.leases and leader_of(group)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -51,8 +51,9 @@
     clock[0] += 2 * constants.OUTCOME_HALF
     assert counts.of("a").failed == pytest.approx(2.0)
     assert outcomes.failing({n: counts.of(n) for n in "ab"}) == []
-    counts.keep_only({"b"})
-    assert counts.of("a") == Ended()
+    clock[0] += 2 * constants.FADED_HALVES * constants.OUTCOME_HALF
+    counts.answered("c")
+    assert counts.of("a").failed < 1e-9 and set(counts.counts.sums) == {"c"}  # and what has faded away is forgotten
 
 
 def test_what_other_routers_saw_fail_counts_here_too():
