--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -11,6 +11,8 @@
 
 import mothshed.common.constants as constants
 
+Load = tuple[float, float, float]  # running, waiting, and how many a replica carries
+
 
 class ServiceMachine:
     def __init__(self):
@@ -109,11 +111,19 @@
             else (constants.SHIFT_AGREE, constants.CHANGE_HOLD if costly else constants.SHIFT_HOLD)
         )
         ready = self.agreed >= agree and self.now() - self.shifted_at > hold
-        if ready and (lean > 0 and count < high or lean < 0 and count > low):
+        room = high - count if lean > 0 else count - low
+        if ready and lean and room > 0:
             self.shifted_at, self.agreed = self.now(), 0
-            return self.move(roles, usage, "prefill" if lean > 0 else "decode")
+            everywhere = {**roles, **far}, {**usage, **{n: others[n][1] for n in far}}
+            for _ in range(self.shift_count(*everywhere, lean, room) if costly else 1):
+                self.move(roles, usage, "prefill" if lean > 0 else "decode")
         return roles
 
+    def shift_count(self, roles: dict[str, str], usage: dict[str, Load], lean: int, room: int) -> int:
+        """How many replicas to move at once: a share of the pool, as far as its bounds and the giving side bear."""
+        most = min(room, max(1, int(constants.CHANGE_SHARE * len(roles))))
+        return max((n for n in range(2, most + 1) if self.bearable(roles, usage, lean, n)), default=1)
+
     def move(self, roles, usage, role):
         givers = [n for n in roles if roles[n] != role]
         if givers:
@@ -130,11 +140,13 @@
             side[role][1] += slots
         return {r: busy / slots if slots else 0.0 for r, (busy, slots) in side.items()}
 
-    def bearable(self, roles, usage, lean):
-        """Whether the side that gives one up still has room with one fewer."""
+    def bearable(self, roles: dict[str, str], usage: dict[str, Load], lean: int, fewer: int = 1) -> bool:
+        """Whether the side that gives some up still has room with so many fewer."""
         giver = "decode" if lean > 0 else "prefill"
         count = sum(role == giver for role in roles.values())
-        return count > 1 and self.pressures(roles, usage)[giver] * count / (count - 1) < constants.CHANGE_BEAR
+        if count <= fewer:
+            return False
+        return bool(self.pressures(roles, usage)[giver] * count / (count - fewer) < constants.CHANGE_BEAR)
 
     def pressure_lean(self, roles, usage):
         """Above 0: prefill is the tighter side, below: decode, 0: neither; 2 is overloaded."""
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -48,6 +48,22 @@
     assert (seen[2][0] - seen[1][0]) * constants.ORDER_BEAT > constants.CHANGE_HOLD
 
 
+@pytest.mark.parametrize("press, goal", [((3.0, 0.1), 14), ((0.1, 3.0), 6)])
+def test_a_large_pool_moves_an_eighth_at_once_and_stops_at_the_bound(press, goal):
+    seen = split(24, 10, press, 200)
+    steps = [abs(after[1] - before[1]) for before, after in itertools.pairwise(seen)]
+    assert seen[-1][1] == goal and steps[0] == 3 and max(steps) == 3 and sum(steps) == abs(goal - 10)
+    beats = [beat for beat, _readers in seen[1:]]
+    assert all((b - a) * constants.ORDER_BEAT > constants.CHANGE_HOLD for a, b in itertools.pairwise(beats))
+
+
+@pytest.mark.parametrize("fewer", [1, 2, 3])
+def test_no_more_move_at_once_than_the_giving_side_bears(fewer):
+    """Sixteen writers give up as many as leave the others below CHANGE_BEAR, at most three."""
+    press = constants.CHANGE_BEAR * (16 - fewer) / 16 - 0.001
+    assert split(24, 8, (3.0, press), constants.SHIFT_AGREE) == [(0, 8), (constants.SHIFT_AGREE, 8 + fewer)]
+
+
 def test_one_is_given_up_only_where_the_giving_side_bears_it():
     bear = constants.CHANGE_BEAR * 5 / 6  # six writers, one of them going
     assert split(10, 4, (3.0, bear + 0.02), 100) == [(0, 4)]
