--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -11,6 +11,8 @@
 CONSTANTS = "mothshed/common/constants.py"
 PLACING = "mothshed/data_plane/placing.py"
 SENDS = "mothshed/data_plane/delivery_sends.py"
+USAGE = "mothshed/control_plane/usage_duty.py"
+CONFIGURATION = "mothshed/control_plane/config_part.py"
 
 
 class NotFound(Exception):
@@ -92,6 +94,13 @@
     ),
     "resumable stream taken up after silence": constants(SILENT_FIRST="1e9", SILENT_NEXT="1e9"),
     "split follows the load": constants(SHIFT_PRESS="1e9"),
+    "several replicas change their part at once": constants(CHANGE_SHARE="0.0"),
+    "what a writer carries, learnt": Mechanism(
+        (Line(USAGE, "self.capacity(name).full_at(slots)", "constants.RUN_FULL * slots"),)
+    ),
+    "older leases by a new leader": Mechanism(
+        (Line(CONFIGURATION, "return -math.inf if moment is None else float(moment)", "return -math.inf"),)
+    ),
     "notice before an order": constants(ORDER_NOTICE="0.0", CHANGE_OUT="0.0"),
     "kept connections": constants(KEPT_MOST="0"),
 }
