--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -11,7 +11,7 @@
 CONSTANTS = "mothshed/common/constants.py"
 PLACING = "mothshed/data_plane/placing.py"
 SENDS = "mothshed/data_plane/delivery_sends.py"
-USAGE = "mothshed/control_plane/usage_duty.py"
+LOAD_SUMS = "mothshed/control_plane/usage_duty.py"
 CONFIGURATION = "mothshed/control_plane/config_part.py"
 
 
@@ -96,7 +96,7 @@
     "split follows the load": constants(SHIFT_PRESS="1e9"),
     "several replicas change their part at once": constants(CHANGE_SHARE="0.0"),
     "what a writer carries, learnt": Mechanism(
-        (Line(USAGE, "self.capacity(name).full_at(slots)", "constants.RUN_FULL * slots"),)
+        (Line(LOAD_SUMS, "self.capacity(name).full_at(slots)", "constants.RUN_FULL * slots"),)
     ),
     "older leases by a new leader": Mechanism(
         (Line(CONFIGURATION, "return -math.inf if moment is None else float(moment)", "return -math.inf"),)
