--- a/tools/weakened.py
+++ b/tools/weakened.py
@@ -46,7 +46,7 @@
         self.apply_all()
 
 
-def stage_anyway(self, command):
+def stage_anyway(self, index, command):
     self.latest += 1
     self.docs[self.latest] = {"doc": command["doc"], "by": command["by"], "id": command["id"]}
     self.drop_documents()
