--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -131,7 +131,19 @@
     def decode(self, pair: placing.Pair) -> tuple[typing.Any, ...]:
         """The answer of a pair's writer, begun: its reply, first event, that one's id, and the rest."""
         try:
-            self.reply = self.speech.decode(
+            self.reply = self.send_decode(pair)
+        except verdict.SendFailure as e:
+            self.stop_if_caller_left()
+            if not self.may_read_itself(e, pair):
+                raise
+            self.drop_handle(e)
+            self.reply = self.send_decode(pair)
+        return self.begun(pair)
+
+    def send_decode(self, pair: placing.Pair) -> typing.Any:
+        """The reply of a pair's writer; raises SendFailure."""
+        try:
+            return self.speech.decode(
                 self.desk,
                 self.ask,
                 pair.writer,
@@ -148,7 +160,6 @@
             if e.reason != web.NOT_READY:
                 self.judge(e, pair.writer)
             raise
-        return self.begun(pair)
 
     def begun(self, pair):
         """The head is here: judges it, and pulls the first event of a stream."""
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -8,6 +8,7 @@
 import mothshed.common.constants as constants
 import mothshed.common.verdict as verdict
 import mothshed.common.web as web
+import mothshed.data_plane.placing as placing
 import mothshed.data_plane.routes as routes
 
 NOT_RUN = verdict.Verdict.NOT_RUN
@@ -150,6 +151,27 @@
             return min(self.left(), constants.SILENT_FIRST + 2 * reading)
         return self.left()
 
+    def may_read_itself(self, e: verdict.SendFailure, pair: placing.Pair) -> bool:
+        """Whether a writer that turned a handle away may be sent the prompt instead, to read it by itself.
+
+        It proved that nothing ran, and it was not full as far as is known: then the memory could not be had,
+        as when handles lapse early. No other replica is asked, so the route's tries allow it; the budget counts it.
+        """
+        if not (self.handle and e.bounced and e.verdict is NOT_RUN):
+            return False
+        room = self.router.placing.running(pair.writer.name) <= self.router.replicas.rows[pair.writer.name]["slots"]
+        return room and self.staying(pair.writer) and self.router.budget.extra()
+
+    def drop_handle(self, e: verdict.SendFailure) -> None:
+        """The hand-over of a prompt failed: its memory is freed, and the failed send counts as none of a replica."""
+        self.fails.append(e)
+        self.router.frees.order(self.handle)
+        self.handle = None
+        self.decodes -= 1  # the route's tries count replicas, and it is the same one
+        self.router.journal.add(
+            "send_failed", outcome="hand_over", replica=e.replica, reason=e.reason, request=self.ask.id
+        )
+
     def whole(self, reply, name):
         try:
             return reply.all()
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -176,6 +176,32 @@
     platform_site.until(lambda reader=reader: not reader.held)
 
 
+def test_a_writer_that_cannot_have_the_memory_reads_the_prompt_itself_where_the_route_allows_no_other(site):
+    host, (reader, *writers) = site.service("pdd", tries=1)
+    platform_site.let(writers, {"forget": True})
+    own, answer = site.ask(host)
+    assert (answer.status, answer.body) == (200, platform_site.pieces(1)) and len(site.platform.ran(own)) == 1
+    (asked,) = [writer for writer in writers if writer.asked]  # one replica, asked twice
+    assert [bool(request.get("Cache-From")) for request in asked.asked] == [True, False]
+
+
+def test_a_writer_that_turns_both_sends_away_ends_a_request_that_may_go_to_one_replica(site):
+    host, (reader, *writers) = site.service("pdd", tries=1)
+    for writer in writers:
+        writer.always = {"bounce": 503}
+    own, answer = site.ask(host)
+    assert answer.status == 503 and not site.platform.ran(own) and platform_site.asked(writers) == 2
+    platform_site.until(lambda reader=reader: not reader.held)
+
+
+def test_a_writer_whose_answer_proves_nothing_is_not_asked_again(site):
+    host, (reader, *writers) = site.service("pdd", tries=1)
+    for writer in writers:
+        writer.always = {"close": True}
+    own, answer = site.ask(host)
+    assert answer.status == 502 and platform_site.asked(writers) == 1
+
+
 def test_no_handle_is_left_behind_by_any_failure(site):
     for fault in [*NOT_ANSWERS, {"bounce": 503}, {"own": 500}, {"break": 0}, {"break": 2}]:
         host, (reader, *writers) = site.service("pdd", tries=2)
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,209 @@
+"""What each mechanism is worth: switched off one by one, in a scratch copy, and played beside the full code.
+
+    python -m tools.ablation --bench FLEETBENCH --scratch FOLDER --play SITE.toml=DAY[:SEED],... [--small]
+        [--only NAME ...] [--jobs N] [--table ABLATION.md] [--picture ABLATION.svg]
+
+The scratch folder must not lie under /tmp: the played processes have one of their own. Every play leaves its
+entry in the copy's journal/. A mechanism's worth is the full code's worth less that without it, as a mean over the
+plays; the spread is the largest difference between two plays of the pairs. A change under 0.03 is noise.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import shutil
+import statistics
+import subprocess
+import sys
+
+import tools.mechanisms as mechanisms
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FULL = "the full code"
+BAR_HEIGHT, LEFT, WIDTH = 18, 300, 760  # pixels of the picture
+
+
+@dataclasses.dataclass(frozen=True)
+class Play:
+    """One day of one deployment, with one seed."""
+
+    site: pathlib.Path
+    day: str
+    seed: str  # "" for the day's own
+
+    def label(self) -> str:
+        """A short name for tables and files."""
+        return f"{self.site.stem} {self.day}" + (f" {self.seed}" if self.seed else "")
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How plays are run."""
+
+    bench: pathlib.Path
+    scratch: pathlib.Path
+    small: bool
+
+
+def plays_of(text: str) -> list[Play]:
+    """Read SITE=DAY[:SEED],... from a word of the command line; raises ValueError.
+
+    >>> [(play.day, play.seed) for play in plays_of("a.toml=quiet-1,trouble-1:7")]
+    [('quiet-1', ''), ('trouble-1', '7')]
+    """
+    site, equals, days = text.partition("=")
+    if not (site and equals and days):
+        raise ValueError(f"{text!r} is not SITE=DAY[:SEED],...")
+    return [Play(pathlib.Path(site).resolve(), *day.partition(":")[::2]) for day in days.split(",")]
+
+
+def copy_tree(goal: pathlib.Path) -> None:
+    """Copy what git tracks, without the journal; keep what an earlier build left under target/."""
+    tracked = subprocess.run(["git", "ls-files", "-z"], cwd=ROOT, check=True, capture_output=True, text=True).stdout
+    for name in tracked.split("\0"):
+        if name and not name.startswith("journal/") and (ROOT / name).is_file():
+            (goal / name).parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(ROOT / name, goal / name)
+    (goal / "journal").mkdir(exist_ok=True)
+    if (ROOT / "target" / "deps").is_dir():
+        shutil.copytree(ROOT / "target" / "deps", goal / "target" / "deps", dirs_exist_ok=True)
+
+
+def prepare(name: str, options: Options) -> pathlib.Path:
+    """A copy of the code with one mechanism switched off, or with all of them, ready to be played."""
+    goal = options.scratch / name.replace(" ", "-")
+    copy_tree(goal)
+    if name != FULL:
+        mechanisms.MECHANISMS[name].switch_off(goal)
+    for words in (["init", "-q"], ["add", "-A"], ["-c", "user.name=a", "-c", "user.email=a@b", "commit", "-qm", name]):
+        subprocess.run(["git", *words], cwd=goal, check=False, capture_output=True)
+    subprocess.run([options.bench, "build"], cwd=goal, check=True, capture_output=True)
+    return goal
+
+
+def run(name: str, folder: pathlib.Path, play: Play, options: Options) -> float | None:
+    """The worth of one play; None if it was not played, 0 if it broke a rule."""
+    report = folder / f"report {play.label()}.json"
+    words = [str(options.bench), "run", str(play.site), play.day, "--report", str(report)]
+    words += ["--seed", play.seed] if play.seed else []
+    words += ["--small"] if options.small else []
+    words += ["--why", f"ablation, without: {name}" if name != FULL else f"ablation: {FULL}"]
+    subprocess.run(words, cwd=folder, check=False, capture_output=True)
+    try:
+        said = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return None
+    return 0.0 if said["breaks"] else float(said["G"])
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """What one mechanism is worth: the difference for each play that both played."""
+
+    name: str
+    differences: dict[str, float]  # by the play's label
+
+    def mean(self) -> float:
+        """Mean worth over the plays; 0 if none was played."""
+        return statistics.fmean(self.differences.values()) if self.differences else 0.0
+
+    def spread(self) -> float:
+        """Largest difference less the smallest."""
+        return max(self.differences.values()) - min(self.differences.values()) if self.differences else 0.0
+
+
+def rows_of(worths: dict[tuple[str, str], float | None], plays: list[Play]) -> list[Row]:
+    """A row for each mechanism, the one worth most first."""
+    rows = []
+    for name in sorted({name for name, _label in worths} - {FULL}):
+        differences = {}
+        for label in (play.label() for play in plays):
+            full, without = worths.get((FULL, label)), worths.get((name, label))
+            if full is not None and without is not None:
+                differences[label] = full - without
+        rows.append(Row(name, differences))
+    return sorted(rows, key=lambda row: -row.mean())
+
+
+def table(rows: list[Row], worths: dict[tuple[str, str], float | None], plays: list[Play]) -> str:
+    """The table in Markdown: the full code's worth, then what each mechanism adds to it."""
+    labels = [play.label() for play in plays]
+    lines = [f"| switched off | mean | spread | {' | '.join(labels)} |", "|---" * (len(labels) + 3) + "|"]
+    full = [worths.get((FULL, label)) for label in labels]
+    lines.append(f"| ({FULL}: worth) | | | " + " | ".join("-" if w is None else f"{w:.3f}" for w in full) + " |")
+    for row in rows:
+        values = [f"{row.differences[label]:+.3f}" if label in row.differences else "-" for label in labels]
+        lines.append(f"| {row.name} | {row.mean():+.3f} | {row.spread():.3f} | {' | '.join(values)} |")
+    return "\n".join(lines) + "\n"
+
+
+def picture(rows: list[Row]) -> str:
+    """An SVG: a bar for each mechanism, green for what it adds, red for what it costs."""
+    most = max([abs(row.mean()) for row in rows] + [0.01])
+    middle, reach = LEFT + 120, WIDTH - LEFT - 180
+    height = BAR_HEIGHT * (len(rows) + 1)
+    shapes = [f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" height="{height}" font-size="12">']
+    for place, row in enumerate(rows):
+        top, length = place * BAR_HEIGHT + 4, abs(row.mean()) / most * reach
+        start = middle if row.mean() >= 0 else middle - min(length, 110)
+        colour = "#4c9a5f" if row.mean() >= 0 else "#a03040"
+        shapes.append(f'<text x="4" y="{top + 12}">{row.name}</text>')
+        shapes.append(
+            f'<rect x="{start:.1f}" y="{top}" width="{length:.1f}" height="{BAR_HEIGHT - 4}" fill="{colour}"/>'
+        )
+        shapes.append(
+            f'<text x="{middle + max(0.0, row.mean()) / most * reach + 4:.1f}" y="{top + 12}">{row.mean():+.3f}</text>'
+        )
+    return "\n".join([*shapes, "</svg>"]) + "\n"
+
+
+def measure(names: list[str], plays: list[Play], options: Options, jobs: int) -> dict[tuple[str, str], float | None]:
+    """The worth of every play of every variant."""
+    folders = {name: prepare(name, options) for name in names}
+    worths: dict[tuple[str, str], float | None] = {}
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        waiting = {
+            pool.submit(run, name, folders[name], play, options): (name, play.label())
+            for play in plays
+            for name in names
+        }
+        for done in concurrent.futures.as_completed(waiting):
+            worths[waiting[done]] = done.result()
+            print(*waiting[done], worths[waiting[done]], flush=True)
+    return worths
+
+
+def main() -> int:
+    """Play, print and write the table; 1 if something could not be played."""
+    parser = argparse.ArgumentParser(description="what each mechanism is worth")
+    parser.add_argument("--bench", type=pathlib.Path, required=True)
+    parser.add_argument("--scratch", type=pathlib.Path, required=True)
+    parser.add_argument("--play", action="append", required=True, help="SITE.toml=DAY[:SEED],...")
+    parser.add_argument("--small", action="store_true", help="small twins of large days")
+    parser.add_argument("--only", action="append", choices=list(mechanisms.MECHANISMS))
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--table", type=pathlib.Path)
+    parser.add_argument("--picture", type=pathlib.Path)
+    args = parser.parse_args()
+    try:
+        plays = [play for text in args.play for play in plays_of(text)]
+    except ValueError as e:
+        parser.error(str(e))
+    if args.jobs < 1:
+        parser.error("--jobs: expected at least one")
+    options = Options(args.bench.resolve(), args.scratch.resolve(), args.small)
+    worths = measure([FULL, *(args.only or mechanisms.MECHANISMS)], plays, options, args.jobs)
+    rows = rows_of(worths, plays)
+    text = table(rows, worths, plays)
+    print(text)
+    if args.table:
+        args.table.write_text(text)
+    if args.picture:
+        args.picture.write_text(picture(rows))
+    return int(None in worths.values())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/mechanisms.py
@@ -0,0 +1,97 @@
+"""The mechanisms of routing, admission, retries, placement, split, hints and orders, and how each is switched off.
+
+A mechanism is switched off in a copy of the source: a constant gets a value under which it never acts, or a line
+is replaced. `tests/test_ablation.py` checks that each of these still finds its place in the source.
+"""
+
+import dataclasses
+import pathlib
+import re
+
+CONSTANTS = "mothshed/common/constants.py"
+PLACING = "mothshed/data_plane/placing.py"
+SENDS = "mothshed/data_plane/delivery_sends.py"
+
+
+class NotFound(Exception):
+    """A switch that does not fit the source any more."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Constant:
+    """A constant that gets another value."""
+
+    name: str
+    value: str
+
+    def apply(self, root: pathlib.Path) -> None:
+        """Change it in a copy of the source; raises NotFound."""
+        place = root / CONSTANTS
+        text, count = re.subn(
+            rf"^{self.name} = [^#\n]*", f"{self.name} = {self.value}  ", place.read_text(), flags=re.M
+        )
+        if count != 1:
+            raise NotFound(self.name)
+        place.write_text(text)
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """A piece of text in one file that is replaced by another."""
+
+    path: str
+    old: str
+    new: str
+
+    def apply(self, root: pathlib.Path) -> None:
+        """Change it in a copy of the source; raises NotFound unless it stands there once."""
+        place = root / self.path
+        text = place.read_text()
+        if text.count(self.old) != 1:
+            raise NotFound(f"{self.path}: {self.old!r}")
+        place.write_text(text.replace(self.old, self.new))
+
+
+@dataclasses.dataclass(frozen=True)
+class Mechanism:
+    """One mechanism, and the changes that switch it off."""
+
+    changes: tuple[Constant | Line, ...]
+
+    def switch_off(self, root: pathlib.Path) -> None:
+        """Switch it off in a copy of the source; raises NotFound."""
+        for change in self.changes:
+            change.apply(root)
+
+
+def constants(**values: str) -> Mechanism:
+    """A mechanism that these values of constants switch off."""
+    return Mechanism(tuple(Constant(name, value) for name, value in values.items()))
+
+
+MECHANISMS = {
+    "hand-over: prefill by another replica": Mechanism(
+        (Line(PLACING, "            if alone or not readers:\n", "            if True:\n"),)
+    ),
+    "home of shared parts by hash": Mechanism(
+        (Line(PLACING, " if shared and names else None\n", " if False else None\n"),)
+    ),
+    "parts known to be kept": constants(KNOWN_PARTS="0"),
+    "cost of reading shared parts again": constants(AGAIN_COST="0.0"),
+    "load of other routers": constants(USAGE_LIFE="0.0"),
+    "failing replicas left out": constants(FAILED_LEAST="1e9"),
+    "replica left out after a failed send": constants(OUT_SPAN="0.0"),
+    "admission by the readers' queue": constants(ADMIT_SHARE="1e9"),
+    "waiting for a place": constants(PLACE_SHARE="0.0", PLACE_LEAST="0.0"),
+    "short readings first": constants(READ_SHORT="1e9"),
+    "short prompts read by their writer": constants(PROMPT_SHORT="0"),
+    "replicas of the own zone": constants(FAR_COST="0.0"),
+    "extra sends (retry budget)": constants(BUDGET_SHARE="0.0", SLACK_SHARE="0.0"),
+    "writer reads where a handle is lost": Mechanism(
+        (Line(SENDS, "        if not (self.handle and e.bounced and e.verdict is NOT_RUN):\n", "        if True:\n"),)
+    ),
+    "resumable stream taken up after silence": constants(SILENT_FIRST="1e9", SILENT_NEXT="1e9"),
+    "split follows the load": constants(SHIFT_PRESS="1e9"),
+    "notice before an order": constants(ORDER_NOTICE="0.0", CHANGE_OUT="0.0"),
+    "kept connections": constants(KEPT_MOST="0"),
+}
