One thread carries all links between processes, and links that rest are closed in order

Cause: common/peers.py kept a writer thread, a reader thread and a connection for each peer that was ever spoken to, and the shuffled views meet every node in time.

Now link.py (one connection, closing in order), link_loop.py (one thread, selector), peers.py (who takes which kind). A link unused both ways for PEER_IDLE is closed: the side that closes reads on until the other has ended too, so nothing sent at that moment is lost. Front threads that rest end; kept connections to replicas that are gone are closed within a second of their time; gossip forgets routers. Threads and links stand in /condition, /metrics and the counters line. Ruled out: closing idle links with a thread pair each (a leader of 200 leases keeps 400 threads).

Tests: test_links (closing in order from either side and from both, 50, 200 and 400 nodes: no thread more), test_peers rewritten for the new module, each former check kept.

--- a/mothshed/common/counters.py
+++ b/mothshed/common/counters.py
@@ -1,17 +1,23 @@
 """A process's own counters, reported in one line from time to time while they change."""
 
+import collections.abc
 import typing
 
 import mothshed.common.constants as constants
 import mothshed.common.journal as journal
 import mothshed.common.ring as ring
 
+Figures = collections.abc.Callable[[], dict[str, int]]
+
 
 class CountersReport:
-    """Reports what was added to the totals since the last line; nothing while nothing changes."""
+    """Reports what was added to the totals since the last line; nothing while nothing changes.
+
+    figures: what the process holds now; it stands in the line as it is.
+    """
 
-    def __init__(self, timers: typing.Any, totals: journal.Totals) -> None:
-        self.timers, self.totals = timers, totals
+    def __init__(self, timers: typing.Any, totals: journal.Totals, figures: Figures = dict) -> None:
+        self.timers, self.totals, self.figures = timers, totals, figures
         self.reported: dict[str, int] = {}
 
     def run(self) -> None:
@@ -22,7 +28,7 @@
         """Report what changed, and come again."""
         added = self.added()
         if added:
-            ring.report("counters", **added)
+            ring.report("counters", **added, **self.figures())
         self.timers.beat(constants.COUNTERS_INTERVAL, self.tick)
 
     def added(self) -> dict[str, int]:
--- a/mothshed/common/front.py
+++ b/mothshed/common/front.py
@@ -135,7 +135,7 @@
     A connection gets a thread once it says something, not before. From then on it is
     watched: a request that does not come whole within READ_TIME, sooner while no thread
     is free, or an answer not taken by its cutoff, shuts the connection. Threads are
-    started as they are needed: `threads` is how many there may be.
+    started as they are needed, and end when they rest: `threads` is how many there may be.
     """
 
     def __init__(self, address: str, app: typing.Any, threads: int) -> None:
@@ -154,6 +154,7 @@
         self.max_request_header_size = constants.HEAD_MOST
         self.keep_alive_conn_limit = constants.KEPT_CALLERS
         self.watched = set()
+        self.many_idle_since = world.now()
         threading.Thread(target=self.watch, name="lines", daemon=True).start()
 
     def prepare(self) -> None:
@@ -192,16 +193,27 @@
         while True:
             time.sleep(constants.LINE_BEAT)
             try:
-                self.start_threads()
+                self.fit_threads(world.now())
                 self.look_for_those_who_left(world.now())
                 self.shut_overdue(world.now())
             except Exception as error:
                 ring.trouble("watch_failed", error)
 
-    def start_threads(self) -> None:
-        """Start some more threads while few are idle; the library keeps to the most there may be."""
-        if self.ready and self.requests.idle < constants.FRONT_SPARE:
+    def fit_threads(self, now: float) -> None:
+        """Start some threads while few are idle, and end some once many were idle for long.
+
+        The library keeps to the fewest and the most there may be.
+        """
+        if not self.ready:
+            return
+        idle = self.requests.idle
+        if idle <= constants.FRONT_SPARE + constants.FRONT_STEP:
+            self.many_idle_since = now
+        if idle < constants.FRONT_SPARE:
             self.requests.grow(constants.FRONT_STEP)
+        elif now - self.many_idle_since > constants.FRONT_REST:
+            self.requests.shrink(constants.FRONT_STEP)
+            self.many_idle_since = now
 
     def shut_overdue(self, now: float) -> None:
         """Shut connections whose request does not come, or whose answer is not taken, in time."""
--- a/mothshed/common/gossip.py
+++ b/mothshed/common/gossip.py
@@ -89,6 +89,7 @@
     def hints(self):
         now = self.desk.now()
         self.keeps = {a: t for a, t in self.keeps.items() if now - t < 5 * constants.HINT_LIFE}
+        self.routers = {a: t for a, t in self.routers.items() if now - t < 5 * constants.HINT_LIFE}
         if self.kind == "keep":
             self.keeps[self.desk.address] = now
         rows = [{"keep": a, "age": round(now - t, 3)} for a, t in self.keeps.items()]
--- a/mothshed/common/journal.py
+++ b/mothshed/common/journal.py
@@ -67,6 +67,7 @@
         if "outcome" in event:
             self.counts[f"{kind}_{event['outcome']}"] += 1
 
-    def text(self):
-        rows = sorted(self.counts.items())
-        return "".join(f"mothshed_{name}_total {n}\n" for name, n in rows)
+    def text(self, figures):
+        """The page: each counter, and what the process holds now (name -> number)."""
+        counted = "".join(f"mothshed_{name}_total {count}\n" for name, count in sorted(self.counts.items()))
+        return counted + "".join(f"mothshed_process_{name} {value}\n" for name, value in sorted(figures.items()))
--- a/mothshed/common/kept.py
+++ b/mothshed/common/kept.py
@@ -51,6 +51,9 @@
     response_class = reply_module.Response
 
 
+Row = tuple[Connection, float, float]  # (connection, since when it rests, until when it may be used)
+
+
 class Kept:
     """Idle connections by address, and the exchanges on them."""
 
@@ -58,6 +61,7 @@
         self.now = now
         self.idle = {}  # "ip:port" -> [(connection, since when, until when)], the last used last
         self.lock = threading.Lock()
+        self.swept_at = now()
         self.made = self.reused = 0
 
     def take(self, address, wary, name=None):
@@ -87,11 +91,19 @@
             rows = self.idle.setdefault(address, [])
             rows.append((conn, now, now + span))
             gone = [rows.pop(0)] if len(rows) > constants.KEPT_MOST else []
-            while rows and rows[0][2] < now:
-                gone.append(rows.pop(0))
+            if now - self.swept_at > constants.KEPT_SWEEP:
+                self.swept_at = now
+                gone += self.expired(now)
         for row in gone:
             row[0].close()
 
+    def expired(self, now: float) -> list[Row]:
+        """Take out what rested past its time, to any address; under the lock."""
+        gone = [row for rows in self.idle.values() for row in rows if row[2] < now]
+        left = {address: [row for row in rows if row[2] >= now] for address, rows in self.idle.items()}
+        self.idle = {address: rows for address, rows in left.items() if rows}
+        return gone
+
     def connect(self, address):
         host, port = address.rsplit(":", 1)
         conn = Connection(host, int(port), timeout=constants.KEPT_CONNECT)
--- a/mothshed/common/records.py
+++ b/mothshed/common/records.py
@@ -74,7 +74,8 @@
         raise RecordFault(f"{kind} carries {', '.join(carried)}, not {', '.join(sorted(body))}")
 
 
-def pack(kind, **body):
+def pack(kind: str, **body: typing.Any) -> bytes:
+    """A record as bytes; raises RecordFault if it is too long, KeyError if a field is missing."""
     parts = []
     for name, code in SHAPES[kind]:
         item = body[name]
@@ -90,7 +91,8 @@
     return HEAD.pack(MARK, NAMES[kind], len(data), zlib.crc32(data)) + data
 
 
-def parse_head(head):
+def parse_head(head: bytes) -> tuple[str, int, int]:
+    """(kind, bytes of the body, checksum) of a header; raises RecordFault."""
     mark, kind, size, check = HEAD.unpack(head)
     if mark != MARK:
         raise RecordFault("wrong mark")
@@ -101,10 +103,12 @@
     return KINDS[kind], size, check
 
 
-def parse_body(kind, data, check):
+def parse_body(kind: str, data: bytes, check: int) -> dict[str, typing.Any]:
+    """The fields of a body; raises RecordFault."""
     if zlib.crc32(data) != check:
         raise RecordFault("wrong checksum")
-    body, at = {}, 0
+    body: dict[str, typing.Any] = {}
+    at = 0
     try:
         for name, code in SHAPES[kind]:
             if code in SCALAR:
@@ -126,7 +130,8 @@
     return body
 
 
-def unpack(data):
+def unpack(data: bytes) -> tuple[str, dict[str, typing.Any]]:
+    """(kind, fields) of one whole record; raises RecordFault."""
     if len(data) < HEAD.size:
         raise RecordFault("short head")
     kind, size, check = parse_head(data[: HEAD.size])
--- a/mothshed/common/world.py
+++ b/mothshed/common/world.py
@@ -119,11 +119,15 @@
         return self.beats.add(delay, self.post, call)
 
     def tell(self, goal, kind, **body):
-        self.peers.tell(goal, kind, **body)
+        self.peers.send(goal, kind, **body)
 
     def hear(self, kind, call, part=None):
         """Calls call(sender, body) in this desk's mailbox for records of a kind."""
-        self.peers.hear(kind, part, lambda who, body: self.post(lambda: call(who, body)))
+        self.peers.subscribe(kind, part, lambda who, body: self.post(lambda: call(who, body)))
+
+    def figures(self) -> dict[str, int]:
+        """What this process holds now: its threads, and its connections to others of the system."""
+        return {"threads": threading.active_count(), **self.peers.figures()}
 
     def stop(self):
         self.box.stop(block=False)
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -113,7 +113,7 @@
         self.replicas.run()
         for seat in self.members:
             seat.begin()
-        counters.CountersReport(self.desk, self.totals).run()
+        counters.CountersReport(self.desk, self.totals, self.desk.figures).run()
 
     def front(self, make=keeper_front.KeeperFront):
         return front.Server(self.settings["http"], make(self), constants.HTTP_THREADS)
@@ -151,6 +151,7 @@
             "who": self.who,
             "parts": parts,
             "keepers": self.gossip.keepers(),
+            "process": self.desk.figures(),
             "neighbours": sorted(self.gossip.view),
             "serving": all(p["state"] in ("leader", "follower") and p["leader"] for p in parts),
         }
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -65,7 +65,7 @@
         return front.respond(start, 200 if said["serving"] else 503, said)
 
     def metrics(self, environ, start):
-        return front.respond(start, 200, self.keeper.totals.text().encode())
+        return front.respond(start, 200, self.keeper.totals.text(self.keeper.desk.figures()).encode())
 
     def elsewhere(self, environ, start):
         """307 to a leader heard of lately, or 503 while there is none; None if this is the leader."""
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -57,7 +57,7 @@
     def run(self):
         self.replicas.run()
         self.desk.spawn(self.frees.run)
-        counters.CountersReport(self.desk, self.totals).run()
+        counters.CountersReport(self.desk, self.totals, self.desk.figures).run()
 
     @contextlib.contextmanager
     def held_wait(self):
@@ -122,6 +122,7 @@
             "frees_left": self.frees.left(),
             "extra_sends_left": self.budget.left(),
             "kept_for_neighbours": len(self.guard.kept),
+            "process": self.desk.figures(),
             "neighbours": sorted(self.gossip.view),
             "replicas": sorted(self.replicas.usable({})),
             "leaving": sorted(self.replicas.leaving()),
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -39,7 +39,7 @@
         return front.respond(start, 200 if said["serving"] else 503, said)
 
     def metrics(self, start):
-        return front.respond(start, 200, self.router.totals.text().encode())
+        return front.respond(start, 200, self.router.totals.text(self.router.desk.figures()).encode())
 
     def complete(self, path, environ, start):
         router = self.router
--- /dev/null
+++ b/tests/peer_nodes.py
@@ -0,0 +1,85 @@
+"""Nodes that say records to each other on real sockets, by a clock that tests move on."""
+
+import contextlib
+import threading
+import time
+
+import mothshed.common.peers as peers
+import mothshed.common.records as records
+import tools.fleet as fleet
+
+WAIT = 20.0  # s; longest wait for what must come
+
+
+class Clock:
+    """A clock that tests move on."""
+
+    def __init__(self):
+        self.seconds = 1000.0
+
+    def __call__(self):
+        return self.seconds
+
+
+class Node:
+    """Peers at a free port that keep the marks of the records that they took."""
+
+    def __init__(self, clock=None):
+        self.clock = clock or Clock()
+        self.taken, self.arrived = [], threading.Condition()
+        self.peers = peers.Peers(f"127.0.0.1:{fleet.free_port('127.0.0.1')}", now=self.clock)
+        self.peers.subscribe("ask", 0, self.take)
+
+    @property
+    def address(self):
+        return self.peers.address
+
+    @property
+    def loop(self):
+        return self.peers.loop
+
+    def take(self, sender, body):
+        with self.arrived:
+            self.taken.append((sender, body["mark"]))
+            self.arrived.notify_all()
+
+    def send(self, goal, mark):
+        self.peers.send(goal, "ask", part=0, mark=mark, held=0, staged=0)
+
+    def wait_for(self, count):
+        with self.arrived:
+            assert self.arrived.wait_for(lambda: len(self.taken) >= count, WAIT), self.taken
+
+    def count(self, name):
+        return self.peers.figures()[f"links_{name}"]
+
+    def links(self):
+        return self.peers.figures()["links"]
+
+
+@contextlib.contextmanager
+def nodes():
+    """A maker of nodes, all stopped at the end."""
+    made = []
+
+    def make(clock=None):
+        made.append(Node(clock))
+        return made[-1]
+
+    try:
+        yield make
+    finally:
+        for node in made:
+            node.peers.stop()
+
+
+def until(condition):
+    """Wait for something that another thread brings about."""
+    end, gate = time.monotonic() + WAIT, threading.Event()
+    while not condition():
+        assert time.monotonic() < end
+        gate.wait(0.005)
+
+
+def packed(mark):
+    return records.pack("ask", part=0, mark=mark, held=0, staged=0)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,6 +10,7 @@
 
 import mothshed.common.configuration as configuration
 import mothshed.common.constants as constants
+import mothshed.common.link as link
 import mothshed.common.peers as peers
 import mothshed.common.records as records
 import mothshed.common.settings as settings
@@ -153,16 +154,16 @@
 def test_a_bad_peer_record_closes_its_connection_and_nothing_else():
     host = f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
     heard, own = [], peers.Peers(host)
-    own.hear("ask", 0, lambda who, body: heard.append(body["mark"]))
+    own.subscribe("ask", 0, lambda who, body: heard.append(body["mark"]))
     hello = records.pack("hello", address="127.0.0.1:1")
     try:
         for number, bad in enumerate(spoiled(), 1):
-            with socket.create_connection(peers.split(host), 5) as conn:
+            with socket.create_connection(link.split(host), 5) as conn:
                 conn.settimeout(5)
                 conn.sendall(hello + bad)
                 assert conn.recv(1) == b""  # closed on us
-            assert own.counts["record_fault"] == number
-        with socket.create_connection(peers.split(host), 5) as conn:
+            assert own.figures()["links_record_fault"] == number
+        with socket.create_connection(link.split(host), 5) as conn:
             conn.sendall(hello + records.pack("ask", part=0, mark=7, held=0, staged=0))
             until = time.monotonic() + 5
             while not heard and time.monotonic() < until:
--- a/tests/test_delivery_connections.py
+++ b/tests/test_delivery_connections.py
@@ -218,3 +218,11 @@
         idle.look(address)  # it still takes connections
     with pytest.raises(web.WebFault):
         kept.Kept(lambda: 0.0).look(address)
+
+
+def test_idle_connections_to_a_replica_that_is_gone_are_closed(idle, clock):
+    gone, other = Held(), Held()
+    idle.give("gone:1", gone, {})
+    clock.time += constants.KEPT_IDLE + constants.KEPT_SWEEP + 0.1
+    idle.give("other:1", other, {})
+    assert gone.closed and not other.closed and list(idle.idle) == ["other:1"]
--- a/tests/test_front_threads.py
+++ b/tests/test_front_threads.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import mothshed.common.constants as constants
 import mothshed.common.front as front
@@ -30,3 +31,22 @@
         assert len(server.requests._threads) == MOST
     finally:
         server.stop()
+
+
+def test_threads_that_rest_end_down_to_the_fewest():
+    server = front.Server("127.0.0.1:0", lambda environ, start: front.respond(start, 200, b"ok"), MOST)
+    server.prepare()
+    try:
+        server.requests.grow(MOST - constants.FRONT_STEP)
+        began, threads = server.many_idle_since, list(server.requests._threads)
+        server.fit_threads(began + constants.FRONT_REST / 2)
+        assert all(thread.is_alive() for thread in threads)  # a short rest ends none
+        until, now = time.monotonic() + 20, began
+        while sum(thread.is_alive() for thread in threads) > constants.FRONT_STEP and time.monotonic() < until:
+            now += constants.FRONT_REST + 0.1
+            server.fit_threads(now)
+            threads[0].join(0.01)
+        server.requests.shrink(0)  # takes the ended ones off the library's list
+        assert len(server.requests._threads) == constants.FRONT_STEP
+    finally:
+        server.stop()
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,141 @@
+"""Connections that rest are closed in order, nothing is lost by it, and one thread carries however many there are."""
+
+import os
+import socket
+import threading
+
+import pytest
+
+import mothshed.common.constants as constants
+import mothshed.common.link as link_module
+import mothshed.common.records as records
+import tests.peer_nodes as peer_nodes
+
+
+@pytest.fixture
+def make_node():
+    with peer_nodes.nodes() as make:
+        yield make
+
+
+def test_a_connection_that_rests_is_closed_in_order_and_comes_back_with_the_next_record(make_node):
+    clock = peer_nodes.Clock()
+    one, two = make_node(clock), make_node(clock)
+    one.send(two.address, 1)
+    two.wait_for(1)
+    clock.seconds += constants.PEER_IDLE + 0.1
+    peer_nodes.until(lambda: one.links() == two.links() == 0)
+    assert one.count("closed") + two.count("closed") == 2 and one.count("lost") + two.count("lost") == 0
+    one.send(two.address, 2)
+    two.wait_for(2)
+    assert two.taken == [(one.address, 1), (one.address, 2)]
+
+
+def test_a_connection_in_use_stays(make_node):
+    clock = peer_nodes.Clock()
+    one, two = make_node(clock), make_node(clock)
+    for mark in range(1, 6):
+        one.send(two.address, mark)
+        two.wait_for(mark)
+        clock.seconds += constants.PEER_IDLE * 0.75
+        looked = one.loop.looked_at
+        peer_nodes.until(lambda looked=looked: one.loop.looked_at > looked)
+    assert one.count("opened") == 1 and one.links() == 1
+
+
+def test_what_is_sent_while_the_other_side_closes_still_arrives(make_node):
+    node = make_node()
+    with socket.create_connection(link_module.split(node.address), 5) as conn:
+        conn.settimeout(peer_nodes.WAIT)
+        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
+        node.wait_for(1)
+        node.clock.seconds += constants.PEER_IDLE + 0.1
+        assert conn.recv(1) == b""  # it has shut its direction
+        conn.sendall(peer_nodes.packed(2))
+        node.wait_for(2)
+        assert node.links() == 1  # it reads on until this side ends too
+        conn.shutdown(socket.SHUT_WR)
+        peer_nodes.until(lambda: node.links() == 0)
+    assert node.count("closed") == 1
+
+
+def test_what_is_queued_when_the_other_side_closes_still_goes_out(make_node):
+    node = make_node()
+    with socket.create_connection(link_module.split(node.address), 5) as conn:
+        conn.settimeout(peer_nodes.WAIT)
+        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
+        node.wait_for(1)
+        text = "x" * 4_000_000  # more than both sockets hold
+        node.peers.send("127.0.0.1:1", "paid", request=text, replica="i")
+        conn.shutdown(socket.SHUT_WR)
+        peer_nodes.until(lambda: "127.0.0.1:1" not in node.loop.by_peer)
+        expected = records.pack("paid", request=text, replica="i")
+        with conn.makefile("rb") as stream:
+            assert stream.read() == expected
+    peer_nodes.until(lambda: node.links() == 0)
+    assert node.count("closed") == 1 and node.count("lost") == 0
+
+
+def test_two_that_close_at_once_both_end(make_node):
+    clock = peer_nodes.Clock()
+    one, two = make_node(clock), make_node(clock)
+    one.send(two.address, 1)
+    two.wait_for(1)
+    two.send(one.address, 2)
+    one.wait_for(1)
+    with one.loop.lock, two.loop.lock:  # neither hears of the other's end before its own
+        for node in (one, two):
+            link = next(iter(node.loop.links))
+            node.loop.forget(link)
+            link.begin_close(clock())
+    peer_nodes.until(lambda: one.links() == two.links() == 0)
+    assert one.count("lost") == two.count("lost") == 0
+
+
+def test_a_side_that_never_ends_is_given_up(make_node):
+    node = make_node()
+    with socket.create_connection(link_module.split(node.address), 5) as conn:
+        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
+        node.wait_for(1)
+        node.clock.seconds += constants.PEER_IDLE + 0.1
+        peer_nodes.until(lambda: not node.loop.by_peer)
+        node.clock.seconds += constants.PEER_SILENT + 0.1
+        peer_nodes.until(lambda: node.links() == 0)
+    assert node.count("lost") == 1
+
+
+def test_stop_closes_every_connection(make_node):
+    one, two = make_node(), make_node()
+    one.send(two.address, 1)
+    two.wait_for(1)
+    one.peers.stop()
+    peer_nodes.until(lambda: two.links() == 0)
+    with pytest.raises(OSError):
+        socket.create_connection(link_module.split(one.address), 5)
+
+
+@pytest.mark.parametrize("count", [50, 200, 400])
+def test_threads_do_not_depend_on_how_many_nodes_are_met(make_node, count):
+    node = make_node()
+    threads, conns = threading.active_count(), []
+    try:
+        for number in range(count):
+            conn = socket.create_connection(link_module.split(node.address), 5)
+            conn.sendall(
+                records.pack("hello", address=f"10.9.{number // 250}.{number % 250}:1") + peer_nodes.packed(number)
+            )
+            conns.append(conn)
+        node.wait_for(count)
+        for number in range(count):
+            node.send(f"10.9.{number // 250}.{number % 250}:1", number)
+        assert node.links() == count and threading.active_count() == threads
+        node.clock.seconds += constants.PEER_IDLE + 0.1
+        peer_nodes.until(lambda: not node.loop.by_peer)
+        descriptors = len(os.listdir("/proc/self/fd"))
+        for conn in conns:
+            conn.shutdown(socket.SHUT_WR)
+        peer_nodes.until(lambda: node.links() == 0)
+        assert len(os.listdir("/proc/self/fd")) == descriptors - count
+    finally:
+        for conn in conns:
+            conn.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,80 +1,124 @@
-"""Held connections on real sockets: both directions, renewal, and an early end to silence."""
+"""Records between processes on real sockets: both directions, order, size, renewal, peers that are not there."""
 
 import socket
 import threading
 
+import pytest
+
 import mothshed.common.constants as constants
-import mothshed.common.peers as peers
+import mothshed.common.link as link_module
 import mothshed.common.records as records
+import tests.peer_nodes as peer_nodes
 import tools.fleet as fleet
 
 
-def spot():
-    return f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
-
-
-def listener(own):
-    gate, marks = threading.Event(), []
-
-    def hear(who, body):
-        marks.append((who, body["mark"]))
-        gate.set()
-
-    own.hear("ask", 0, hear)
-    return gate, marks
-
-
-def test_one_connection_carries_records_both_ways():
-    one, two = peers.Peers(spot()), peers.Peers(spot())
-    try:
-        up, down = listener(two), listener(one)
-        one.tell(two.address, "ask", part=0, mark=1, held=0, staged=0)
-        assert up[0].wait(10) and up[1] == [(one.address, 1)]
-        held = one.peer(two.address).conn
-        two.tell(one.address, "ask", part=0, mark=2, held=0, staged=0)
-        assert down[0].wait(10) and down[1] == [(two.address, 2)]
-        back = two.peer(one.address).conn
-        assert back.getpeername() == held.getsockname()  # the answer came down the same connection
-    finally:
-        one.stop()
-        two.stop()
-
-
-def test_a_lost_connection_is_made_anew():
-    one, two = peers.Peers(spot()), peers.Peers(spot())
-    try:
-        gate, marks = listener(two)
-        one.tell(two.address, "ask", part=0, mark=1, held=0, staged=0)
-        assert gate.wait(10)
-        peers.shut(one.peer(two.address).conn)
-        for mark in range(2, 400):  # what was under way may be lost; later ones are not
-            gate.clear()
-            one.tell(two.address, "ask", part=0, mark=mark, held=0, staged=0)
-            if gate.wait(0.2):
-                break
-        assert marks[-1][1] > 1
-    finally:
-        one.stop()
-        two.stop()
-
-
-def test_silence_ends_a_connection_early_on_both_sides():
-    own = peers.Peers(spot())
-    try:
-        gate, marks = listener(own)
-        with socket.create_connection(peers.split(own.address), 5) as conn:
-            conn.sendall(
-                records.pack("hello", address="127.0.0.1:1") + records.pack("ask", part=0, mark=1, held=0, staged=0)
-            )
-            assert gate.wait(10)
-            held = own.peer("127.0.0.1:1").conn
-            for sock in (held, tuned(conn)):
-                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == constants.PEER_SILENT * 1000
-                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
-    finally:
-        own.stop()
-
-
-def tuned(conn):
-    peers.tune(conn)
-    return conn
+@pytest.fixture
+def make_node():
+    with peer_nodes.nodes() as make:
+        yield make
+
+
+def test_one_connection_carries_records_both_ways(make_node):
+    one, two = make_node(), make_node()
+    one.send(two.address, 1)
+    two.wait_for(1)
+    two.send(one.address, 2)
+    one.wait_for(1)
+    assert two.taken == [(one.address, 1)] and one.taken == [(two.address, 2)]
+    held = one.loop.by_peer[two.address].sock
+    assert two.loop.by_peer[one.address].sock.getpeername() == held.getsockname()
+    assert one.links() == two.links() == 1
+
+
+def test_records_arrive_in_the_order_they_were_sent(make_node):
+    one, two = make_node(), make_node()
+    for mark in range(300):
+        one.send(two.address, mark)
+    two.wait_for(300)
+    assert [mark for _, mark in two.taken] == list(range(300))
+
+
+def test_a_record_larger_than_the_socket_takes_goes_out_in_pieces(make_node):
+    one, two = make_node(), make_node()
+    text, heard = "x" * 4_000_000, threading.Event()
+    two.peers.subscribe("paid", None, lambda sender, body: heard.set() if body["request"] == text else None)
+    one.peers.send(two.address, "paid", request=text, replica="i")
+    one.send(two.address, 7)
+    two.wait_for(1)
+    assert heard.is_set()
+
+
+def test_a_lost_connection_is_made_anew(make_node):
+    one, two = make_node(), make_node()
+    one.send(two.address, 1)
+    two.wait_for(1)
+    two.loop.by_peer[one.address].sock.shutdown(socket.SHUT_RDWR)
+    peer_nodes.until(lambda: one.links() == 0)
+    one.send(two.address, 2)
+    two.wait_for(2)
+    assert one.count("opened") == 2
+
+
+def test_silence_ends_a_connection_early_on_both_sides(make_node):
+    node = make_node()
+    with socket.create_connection(link_module.split(node.address), 5) as conn:
+        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
+        node.wait_for(1)
+        held = node.loop.by_peer["127.0.0.1:1"].sock
+        link_module.tune(conn)
+        for sock in (held, conn):
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == constants.PEER_SILENT * 1000
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+
+
+def test_a_peer_that_cannot_be_reached_is_not_tried_for_each_record(make_node):
+    node = make_node()
+    gone = f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
+    node.send(gone, 1)
+    peer_nodes.until(lambda: node.links() == 0)
+    for mark in range(10):
+        node.send(gone, mark)
+    assert node.count("opened") == 1 and node.count("dropped") == 10
+    node.clock.seconds += constants.PEER_RETRY + 0.01
+    node.send(gone, 11)
+    assert node.count("opened") == 2
+
+
+def test_a_peer_that_does_not_answer_a_connect_is_given_up(make_node):
+    node = make_node()
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        address = f"127.0.0.1:{full.getsockname()[1]}"
+        waiting = [socket.socket() for _ in range(3)]  # the queue of a listener that accepts nothing
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        node.send(address, 1)
+        assert address in node.loop.by_peer
+        node.clock.seconds += constants.PEER_CONNECT + 0.1
+        peer_nodes.until(lambda: node.links() == 0)
+        for sock in waiting:
+            sock.close()
+    assert node.count("connect_failed") == 1
+
+
+def test_a_restarted_peer_is_reached_by_its_new_connection(make_node):
+    node = make_node()
+    address = ("127.0.0.1", int(node.address.rsplit(":", 1)[1]))
+    with socket.create_connection(address, 5) as former, socket.create_connection(address, 5) as latter:
+        former.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
+        node.wait_for(1)
+        latter.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(2))
+        node.wait_for(2)
+        node.send("127.0.0.1:1", 3)
+        latter.settimeout(peer_nodes.WAIT)
+        assert latter.recv(1000) == peer_nodes.packed(3)
+
+
+def test_a_receiver_that_fails_costs_neither_the_connection_nor_the_thread(make_node):
+    node = make_node()
+    node.peers.subscribe("paid", None, lambda sender, body: 1 / 0)
+    with socket.create_connection(link_module.split(node.address), 5) as conn:
+        spoils = records.pack("paid", request="r", replica="i")
+        conn.sendall(records.pack("hello", address="127.0.0.1:1") + spoils + peer_nodes.packed(1))
+        node.wait_for(1)
+    assert node.count("record_fault") == 0
--- a/tools/hollow/real.py
+++ b/tools/hollow/real.py
@@ -7,6 +7,7 @@
 import time
 
 import mothshed.common.front as front
+import mothshed.common.link as link
 import mothshed.common.peers as peers
 import mothshed.common.records as records
 import mothshed.common.world as world
@@ -73,11 +74,11 @@
     address = f"127.0.0.1:{free_port()}"
     own = peers.Peers(address)
     heard = []
-    own.hear("paid", None, lambda who, body: heard.append(who))
+    own.subscribe("paid", None, lambda who, body: heard.append(who))
     before = condition_of()
     lines = []
     for at in range(count):
-        line = socket.create_connection(peers.split(address))
+        line = socket.create_connection(link.split(address))
         line.sendall(
             records.pack("hello", address=f"10.9.{at // 250}.{at % 250}:1")
             + records.pack("paid", request="r" * 40, replica="i-1")
@@ -86,8 +87,8 @@
     until = time.monotonic() + 20
     while len(heard) < count and time.monotonic() < until:
         time.sleep(0.02)
-    for who in list(own.peers):
-        own.tell(who, "paid", request="r" * 40, replica="i-1")
+    for who in list(own.loop.by_peer):
+        own.send(who, "paid", request="r" * 40, replica="i-1")
     time.sleep(0.3)
     after = condition_of()
     files = len(os.listdir("/proc/self/fd")) - count  # this trial's own ends are not the process's
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -10,7 +10,7 @@
 import threading
 import time
 
-import mothshed.common.peers as peers
+import mothshed.common.link as link
 import mothshed.common.records as records
 
 LOOK = 0.02  # s; a held pump looks this often whether its cut is healed
@@ -24,7 +24,7 @@
 
     def add(self, name, address, goal):
         """Listens at the address that `name` tells others; passes on to where it listens."""
-        door = socket.create_server(peers.split(address), backlog=128)
+        door = socket.create_server(link.split(address), backlog=128)
         self.names[address] = name
         self.doors.append(door)
         threading.Thread(target=self.accept, args=(door, name, goal), daemon=True).start()
@@ -52,7 +52,7 @@
             data = near.recv(size, socket.MSG_WAITALL)
             who = self.names.get(records.parse_body(kind, data, check)["address"], "")
             self.hold(who, name)
-            far = socket.create_connection(peers.split(goal), 1.0)
+            far = socket.create_connection(link.split(goal), 1.0)
             far.settimeout(None)
             far.sendall(head + data)
         except (OSError, KeyError, records.RecordFault, records.struct.error):
@@ -77,9 +77,9 @@
         except OSError:
             pass
         for conn in (source, goal):
-            peers.shut(conn)
+            link.shut(conn)
 
     def stop(self):
         self.open = False
         for door in self.doors:
-            peers.shut(door)
+            link.shut(door)
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -40,6 +40,9 @@
         if goal:
             self.net.tell(self.machine, self.address, goal, kind, body)
 
+    def figures(self):
+        return {}
+
     def hear(self, kind, call, part=None):
         self.net.ears.setdefault(self.address, {})[(kind, part)] = call
 
