--- a/mothshed/common/lease.py
+++ b/mothshed/configuration/lease.py
@@ -9,8 +9,8 @@
 
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.ring as ring
+import mothshed.constants as constants
+import mothshed.runtime.ring as ring
 
 
 class Lease:
--- a/mothshed/common/manifests.py
+++ b/mothshed/configuration/manifests.py
@@ -8,7 +8,7 @@
 import voluptuous
 import yaml
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 
 
 class ManifestFault(Exception):
--- a/mothshed/common/settings.py
+++ b/mothshed/configuration/settings.py
@@ -15,7 +15,7 @@
 
 import voluptuous
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 
 
 class SettingsFault(Exception):
--- a/mothshed/control_plane/commit_moments.py
+++ b/mothshed/control_plane/commit_moments.py
@@ -9,7 +9,7 @@
 
 import collections
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class CommitMoments:
--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -13,7 +13,7 @@
 import math
 import typing
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.leader_hint as leader_hint
 import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.leaseholder as leaseholder
--- a/mothshed/control_plane/confirmed_calls.py
+++ b/mothshed/control_plane/confirmed_calls.py
@@ -10,7 +10,7 @@
 import threading
 import typing
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class NotConfirmed(Exception):
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -11,8 +11,8 @@
 own view of the group, an empty or wiped one, never votes and never stands.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.ring as ring
+import mothshed.constants as constants
+import mothshed.runtime.ring as ring
 
 
 class Election:
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -2,16 +2,8 @@
 
 import secrets
 
-import mothshed.common.constants as constants
-import mothshed.common.counters as counters
-import mothshed.common.disk as disk_module
-import mothshed.common.front as front
-import mothshed.common.gossip as gossip
-import mothshed.common.journal as journal_module
-import mothshed.common.lease as lease_module
-import mothshed.common.listed as listed
-import mothshed.common.remembered as remembered
-import mothshed.common.replicas as replicas_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
 import mothshed.control_plane.lease_bounds as lease_bounds
@@ -20,6 +12,14 @@
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.service_part as service_part
+import mothshed.http.front as front
+import mothshed.replicas.known_replicas as replicas_module
+import mothshed.replicas.listed as listed
+import mothshed.runtime.counters as counters
+import mothshed.runtime.journal as journal_module
+import mothshed.storage.disk as disk_module
+import mothshed.transport.gossip as gossip
+import mothshed.transport.remembered as remembered
 
 
 def incarnation(disk, name, chance):
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -20,12 +20,12 @@
 import typing
 import urllib.parse
 
-import mothshed.common.configuration as configuration
-import mothshed.common.constants as constants
-import mothshed.common.document_change as document_change
-import mothshed.common.front as front
+import mothshed.configuration.document as configuration
+import mothshed.configuration.document_change as document_change
+import mothshed.constants as constants
 import mothshed.control_plane.confirmed_calls as confirmed_calls
 import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.http.front as front
 
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's start_response
 Environ = dict[str, typing.Any]  # WSGI's environ
--- a/mothshed/control_plane/leader_hint.py
+++ b/mothshed/control_plane/leader_hint.py
@@ -1,6 +1,6 @@
 """Which leader of a part may be named to those who ask at another member."""
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 def recent_leader(member):
--- a/mothshed/control_plane/lease_bounds.py
+++ b/mothshed/control_plane/lease_bounds.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mothshed/control_plane/leaseholder.py
+++ b/mothshed/control_plane/leaseholder.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 @dataclasses.dataclass
--- a/mothshed/control_plane/list_duty.py
+++ b/mothshed/control_plane/list_duty.py
@@ -8,9 +8,9 @@
 
 import collections
 
-import mothshed.common.constants as constants
-import mothshed.common.web as web
+import mothshed.constants as constants
 import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.http.web as web
 
 
 class ListDuty:
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -7,16 +7,16 @@
 reads. A disk that fails to sync stops the member: it no longer knows what it has.
 """
 
-import mothshed.common.charts as charts
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.disk_log as disk_log
-import mothshed.common.ring as ring
+import mothshed.constants as constants
 import mothshed.control_plane.election as election
 import mothshed.control_plane.following as following
 import mothshed.control_plane.membership as membership
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.replication as replication
+import mothshed.runtime.charts as charts
+import mothshed.runtime.ring as ring
+import mothshed.storage.disk as disk_module
+import mothshed.storage.disk_log as disk_log
 
 
 class Member(election.Election, replication.Replication, following.Following, reconfiguration.Reconfiguration):
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -12,14 +12,14 @@
 import collections.abc
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.pools as pools
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.replicas as replicas_module
-import mothshed.common.web as web
+import mothshed.constants as constants
 import mothshed.control_plane.parts as parts
 import mothshed.control_plane.service_part as service_part
 import mothshed.control_plane.usage_duty as usage_duty
+import mothshed.http.web as web
+import mothshed.replicas.known_replicas as replicas_module
+import mothshed.replicas.pools as pools
+import mothshed.replicas.replica_adapter as replica_adapter
 
 
 def usage_of(condition):
--- a/mothshed/control_plane/parts.py
+++ b/mothshed/control_plane/parts.py
@@ -1,6 +1,6 @@
 """Which part keeps a service."""
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 def part_of(service, parts=constants.PARTS):
--- a/mothshed/control_plane/progress.py
+++ b/mothshed/control_plane/progress.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
 
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.membership as membership
 
 
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -9,7 +9,7 @@
 sent the snapshot in pieces (snapshot_transfer.py).
 """
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.progress as progress_module
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -9,7 +9,7 @@
 
 import math
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 Load = tuple[float, float, float]  # running, waiting, and how many a replica carries
 
--- a/mothshed/control_plane/snapshot_transfer.py
+++ b/mothshed/control_plane/snapshot_transfer.py
@@ -9,7 +9,7 @@
 import typing
 import zlib
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 Fields = dict[str, typing.Any]  # of a snapshot or of a record
 
--- a/mothshed/control_plane/taken_orders.py
+++ b/mothshed/control_plane/taken_orders.py
@@ -19,7 +19,7 @@
 import hashlib
 import struct
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 ENTRY = struct.Struct(f"!{constants.DIGEST_BYTES}sq")
 
--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -5,9 +5,9 @@
 of a pool goes by where replicas' own reports are not read.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.control_plane.writer_capacity as writer_capacity
+import mothshed.replicas.replica_load as replica_load
 
 
 class UsageDuty:
--- a/mothshed/control_plane/writer_capacity.py
+++ b/mothshed/control_plane/writer_capacity.py
@@ -11,7 +11,7 @@
 import collections.abc
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 @dataclasses.dataclass
--- a/mothshed/data_plane/admission.py
+++ b/mothshed/data_plane/admission.py
@@ -9,8 +9,8 @@
 import collections
 import threading
 
-import mothshed.common.constants as constants
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
+import mothshed.replicas.verdict as verdict
 
 
 class Ticket:
--- a/mothshed/data_plane/budget.py
+++ b/mothshed/data_plane/budget.py
@@ -13,7 +13,7 @@
 import collections
 import threading
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class Budget:
--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -8,12 +8,12 @@
 older one is fitted to the newer before its next send.
 """
 
-import mothshed.common.charts as charts
-import mothshed.common.constants as constants
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
 import mothshed.data_plane.plan as planning
 import mothshed.data_plane.sends as sends
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
+import mothshed.runtime.charts as charts
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -11,16 +11,16 @@
 
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.events as events
-import mothshed.common.verdict as verdict
-import mothshed.common.web as web
+import mothshed.constants as constants
 import mothshed.data_plane.delivery_sends as delivery_sends
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.pauses as pauses_module
 import mothshed.data_plane.place_wait as place_wait
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.stage_times as stage_times
+import mothshed.http.events as events
+import mothshed.http.web as web
+import mothshed.replicas.verdict as verdict
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 Stage = stage_times.Stage
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -5,11 +5,11 @@
 against a replica: one that still takes a connection is only busy.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.verdict as verdict
-import mothshed.common.web as web
+import mothshed.constants as constants
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.routes as routes
+import mothshed.http.web as web
+import mothshed.replicas.verdict as verdict
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 
--- a/mothshed/data_plane/frees.py
+++ b/mothshed/data_plane/frees.py
@@ -8,9 +8,9 @@
 
 import collections
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
+import mothshed.replicas.replica_adapter as replica_adapter
 
 
 class Frees:
--- a/mothshed/data_plane/guard.py
+++ b/mothshed/data_plane/guard.py
@@ -10,8 +10,8 @@
 
 import collections
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_adapter as replica_adapter
+import mothshed.constants as constants
+import mothshed.replicas.replica_adapter as replica_adapter
 
 
 class Guard:
--- a/mothshed/data_plane/intake.py
+++ b/mothshed/data_plane/intake.py
@@ -8,10 +8,10 @@
 import math
 import re
 
-import mothshed.common.caller as caller_module
-import mothshed.common.constants as constants
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
+import mothshed.http.caller as caller_module
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
 
 PATHS = ("/v1/completions", "/v1/chat/completions")
 ID = re.compile(r"[A-Za-z0-9._:-]{1,128}\Z")
--- a/mothshed/data_plane/outcomes.py
+++ b/mothshed/data_plane/outcomes.py
@@ -9,8 +9,8 @@
 import collections.abc
 import dataclasses
 
-import mothshed.common.constants as constants
-import mothshed.common.fading as fading
+import mothshed.constants as constants
+import mothshed.runtime.fading as fading
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mothshed/data_plane/pair.py
+++ b/mothshed/data_plane/pair.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-import mothshed.common.replicas as replicas
+import mothshed.replicas.known_replicas as replicas
 
 
 @dataclasses.dataclass
--- a/mothshed/data_plane/pairing.py
+++ b/mothshed/data_plane/pairing.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 @dataclasses.dataclass
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-import mothshed.common.constants as constants
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.routes as routes
+import mothshed.replicas.verdict as verdict
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -13,13 +13,13 @@
 import threading
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.fading as fading
-import mothshed.common.pools as pools
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.prompt_parts as prompt_parts
+import mothshed.replicas.pools as pools
+import mothshed.replicas.replica_load as replica_load
+import mothshed.runtime.fading as fading
 
 Ask = typing.Any  # a delivered request as the route's front read it
 Document = dict[str, typing.Any]  # a configuration
--- a/mothshed/data_plane/plan.py
+++ b/mothshed/data_plane/plan.py
@@ -7,8 +7,8 @@
 
 import dataclasses
 
-import mothshed.common.replica_adapter as replica_adapter
 import mothshed.data_plane.pairing as pairing
+import mothshed.replicas.replica_adapter as replica_adapter
 
 
 @dataclasses.dataclass
--- a/mothshed/data_plane/prompt_parts.py
+++ b/mothshed/data_plane/prompt_parts.py
@@ -4,7 +4,7 @@
 import collections.abc
 import hashlib
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 Part = tuple[str, int]  # its id, and its tokens
 
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -9,12 +9,12 @@
 import dataclasses
 import functools
 
-import mothshed.common.caller as caller_module
-import mothshed.common.constants as constants
-import mothshed.common.front as front
-import mothshed.common.ring as ring
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
 import mothshed.data_plane.deliver as deliver
+import mothshed.http.caller as caller_module
+import mothshed.http.front as front
+import mothshed.replicas.verdict as verdict
+import mothshed.runtime.ring as ring
 
 HOP = {
     "connection",
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -3,15 +3,8 @@
 import contextlib
 import threading
 
-import mothshed.common.constants as constants
-import mothshed.common.counters as counters
-import mothshed.common.front as front
-import mothshed.common.gossip as gossip
-import mothshed.common.journal as journal_module
-import mothshed.common.lease as lease_module
-import mothshed.common.listed as listed
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.replicas as replicas_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import mothshed.data_plane.admission as admission
 import mothshed.data_plane.budget as budget
 import mothshed.data_plane.frees as frees
@@ -21,6 +14,13 @@
 import mothshed.data_plane.router_front as router_front
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.usage_share as usage_share
+import mothshed.http.front as front
+import mothshed.replicas.known_replicas as replicas_module
+import mothshed.replicas.listed as listed
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.runtime.counters as counters
+import mothshed.runtime.journal as journal_module
+import mothshed.transport.gossip as gossip
 
 
 class Router:
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -9,12 +9,12 @@
 import json
 import time
 
-import mothshed.common.constants as constants
-import mothshed.common.front as front
-import mothshed.common.ring as ring
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
 import mothshed.data_plane.carry as carry
 import mothshed.data_plane.intake as intake
+import mothshed.http.front as front
+import mothshed.replicas.verdict as verdict
+import mothshed.runtime.ring as ring
 
 
 class RouterFront:
--- a/mothshed/data_plane/sends.py
+++ b/mothshed/data_plane/sends.py
@@ -7,11 +7,11 @@
 asks with one id never meet at a replica.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.verdict as verdict
-import mothshed.common.web as web
+import mothshed.constants as constants
 import mothshed.data_plane.plan as planning
+import mothshed.http.web as web
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -7,9 +7,9 @@
 where to place, and without it a router goes by what it knows itself.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.control_plane.parts as parts
+import mothshed.replicas.replica_load as replica_load
 
 
 class UsageShare:
--- a/mothshed/common/caller.py
+++ b/mothshed/http/caller.py
@@ -10,7 +10,7 @@
 import socket
 import typing
 
-import mothshed.common.cancellation as cancellation
+import mothshed.runtime.cancellation as cancellation
 
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
--- a/mothshed/common/chunked.py
+++ b/mothshed/http/chunked.py
@@ -8,7 +8,7 @@
 
 import re
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 
--- a/mothshed/common/front.py
+++ b/mothshed/http/front.py
@@ -14,14 +14,14 @@
 
 import cheroot.wsgi
 
-import mothshed.common.caller as caller
-import mothshed.common.cancellation as cancellation
-import mothshed.common.chunked as chunked
-import mothshed.common.constants as constants
-import mothshed.common.headers as headers
-import mothshed.common.idle as idle
-import mothshed.common.ring as ring
-import mothshed.common.world as world
+import mothshed.constants as constants
+import mothshed.http.caller as caller
+import mothshed.http.chunked as chunked
+import mothshed.http.headers as headers
+import mothshed.http.idle as idle
+import mothshed.runtime.cancellation as cancellation
+import mothshed.runtime.clock as clock
+import mothshed.runtime.ring as ring
 
 STATUS = {
     200: "OK",
@@ -154,7 +154,7 @@
         self.max_request_header_size = constants.HEAD_MOST
         self.keep_alive_conn_limit = constants.KEPT_CALLERS
         self.watched = set()
-        self.many_idle_since = world.now()
+        self.many_idle_since = clock.now()
         threading.Thread(target=self.watch, name="lines", daemon=True).start()
 
     def prepare(self) -> None:
@@ -165,7 +165,7 @@
 
     def limit_idle(self, seconds: float) -> None:
         """How long an idle connection may rest from now on; a longer limit before it runs out first."""
-        self.idle_limit.change(seconds, world.now())
+        self.idle_limit.change(seconds, clock.now())
 
     def exchanging(self) -> bool:
         """Whether a request is arriving, being served, or its answer not wholly written."""
@@ -177,7 +177,7 @@
             conn.arrived = conn.due = conn.left_at = conn.caller = None
             self.put_conn(conn)
             return
-        conn.arrived = world.now()
+        conn.arrived = clock.now()
         conn.due, conn.reading = conn.arrived + constants.READ_TIME, True
         self.watched.add(conn)
         super().process_conn(conn)
@@ -193,9 +193,9 @@
         while True:
             time.sleep(constants.LINE_BEAT)
             try:
-                self.fit_threads(world.now())
-                self.look_for_those_who_left(world.now())
-                self.shut_overdue(world.now())
+                self.fit_threads(clock.now())
+                self.look_for_those_who_left(clock.now())
+                self.shut_overdue(clock.now())
             except Exception as error:
                 ring.trouble("watch_failed", error)
 
--- a/mothshed/common/headers.py
+++ b/mothshed/http/headers.py
@@ -10,9 +10,9 @@
 
 import cheroot.server
 
-import mothshed.common.chunked as chunked
-import mothshed.common.constants as constants
-import mothshed.common.world as world
+import mothshed.constants as constants
+import mothshed.http.chunked as chunked
+import mothshed.runtime.clock as clock
 
 ONCE = {b"Content-Length", b"Transfer-Encoding", b"Host"}
 
@@ -94,10 +94,10 @@
 
     def discard_input(self):
         """Reads away what still comes: closing over unread bytes resets the connection and loses the answer."""
-        until = world.now() + constants.LINGER_TIME
+        until = clock.now() + constants.LINGER_TIME
         try:
             self.socket.shutdown(socket.SHUT_WR)
-            while (left := until - world.now()) > 0:
+            while (left := until - clock.now()) > 0:
                 self.socket.settimeout(left)
                 if not self.socket.recv(constants.EOF_BYTES):
                     return
--- a/mothshed/common/idle.py
+++ b/mothshed/http/idle.py
@@ -10,8 +10,8 @@
 
 import cheroot.connections
 
-import mothshed.common.constants as constants
-import mothshed.common.world as world
+import mothshed.constants as constants
+import mothshed.runtime.clock as clock
 
 
 class IdleLimit:
@@ -42,12 +42,12 @@
     """The library's selector of idle connections, with an expiry of our own."""
 
     def put(self, conn):
-        conn.idle_since = world.now()
+        conn.idle_since = clock.now()
         super().put(conn)
 
     def _expire(self, threshold):
         """Closes what rested for the whole limit and a margin; the library's threshold is not used."""
-        now = world.now()
+        now = clock.now()
         oldest = now - self.server.idle_limit.longest(now) - constants.IDLE_MARGIN
         for descriptor, conn in list(self._selector.connections):
             if conn is self.server or conn.idle_since > oldest or has_input(conn.socket):
--- a/mothshed/common/kept.py
+++ b/mothshed/http/kept.py
@@ -19,10 +19,10 @@
 import urllib3.connection
 import urllib3.exceptions
 
-import mothshed.common.cancellation as cancellation_module
-import mothshed.common.constants as constants
-import mothshed.common.reply as reply_module
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.reply as reply_module
+import mothshed.http.web as web
+import mothshed.runtime.cancellation as cancellation_module
 
 TIME = re.compile(r"timeout\s*=\s*(\d+)")
 
--- a/mothshed/common/reply.py
+++ b/mothshed/http/reply.py
@@ -11,10 +11,10 @@
 
 import urllib3
 
-import mothshed.common.cancellation as cancellation_module
-import mothshed.common.chunked as chunked
-import mothshed.common.constants as constants
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.chunked as chunked
+import mothshed.http.web as web
+import mothshed.runtime.cancellation as cancellation_module
 
 LENGTH = re.compile(r"[0-9]{1,15}")
 
--- a/mothshed/common/web.py
+++ b/mothshed/http/web.py
@@ -13,8 +13,8 @@
 import urllib3
 import urllib3.connection
 
-import mothshed.common.cancellation as cancellation_module
-import mothshed.common.constants as constants
+import mothshed.constants as constants
+import mothshed.runtime.cancellation as cancellation_module
 
 NOT_READY = "not ready to send any more"
 
--- a/mothshed/programs/ask.py
+++ b/mothshed/programs/ask.py
@@ -6,8 +6,8 @@
 
 import urllib3
 
-import mothshed.common.constants as constants
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
 
 
 def one(pool, method, url, body):
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -5,10 +5,10 @@
 
 import cappa
 
-import mothshed.common.ring as ring
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.programs.process as process
 import mothshed.programs.serving as serving
+import mothshed.runtime.ring as ring
 
 
 @cappa.command(
--- a/mothshed/programs/operate_configuration.py
+++ b/mothshed/programs/operate_configuration.py
@@ -11,9 +11,9 @@
 
 import cappa
 
-import mothshed.common.configuration as configuration
-import mothshed.common.document_change as document_change
-import mothshed.common.manifests as manifests
+import mothshed.configuration.document as configuration
+import mothshed.configuration.document_change as document_change
+import mothshed.configuration.manifests as manifests
 import mothshed.programs.ask as ask
 import mothshed.programs.document_file as document_file
 
--- a/mothshed/programs/process.py
+++ b/mothshed/programs/process.py
@@ -6,10 +6,10 @@
 
 import cappa
 
-import mothshed.common.disk as disk_module
-import mothshed.common.ring as ring
-import mothshed.common.settings as settings_module
+import mothshed.configuration.settings as settings_module
 import mothshed.programs.serving as serving
+import mothshed.runtime.ring as ring
+import mothshed.storage.disk as disk_module
 
 Flag = str | None
 
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -5,11 +5,11 @@
 
 import cappa
 
-import mothshed.common.constants as constants
-import mothshed.common.ring as ring
+import mothshed.constants as constants
 import mothshed.data_plane.router as router_module
 import mothshed.programs.process as process
 import mothshed.programs.serving as serving
+import mothshed.runtime.ring as ring
 
 
 @cappa.command(
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -11,13 +11,14 @@
 import threading
 import time
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.front as front
-import mothshed.common.peers as peers
-import mothshed.common.ring as ring
-import mothshed.common.settings as settings_module
-import mothshed.common.world as world
+import mothshed.configuration.settings as settings_module
+import mothshed.constants as constants
+import mothshed.http.front as front
+import mothshed.programs.environment as environment
+import mothshed.runtime.ring as ring
+import mothshed.runtime.timers as timers
+import mothshed.storage.disk as disk_module
+import mothshed.transport.peers as peers
 
 
 class ProgramEnd(Exception):
@@ -30,12 +31,12 @@
 
 def desks(settings):
     """A maker of desks that share one clock thread and one set of peers."""
-    beats = world.Beats()
+    beats = timers.Timers()
     try:
         own = peers.Peers(settings["address"], settings.get("listen"))
     except OSError as e:
         raise ProgramEnd(3, f"cannot listen on {settings.get('listen') or settings['address']}: {e}") from e
-    return lambda: world.Desk(beats, own, settings["address"])
+    return lambda: environment.Desk(beats, own, settings["address"])
 
 
 def serve_ready(address, path, ready):
--- a/mothshed/common/replicas.py
+++ b/mothshed/replicas/known_replicas.py
@@ -13,10 +13,10 @@
 import math
 import threading
 
-import mothshed.common.constants as constants
-import mothshed.common.platform_list as platform_list
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
+import mothshed.replicas.platform_list as platform_list
+import mothshed.replicas.replica_adapter as replica_adapter
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mothshed/common/leaders.py
+++ b/mothshed/replicas/leaders.py
@@ -4,7 +4,7 @@
 follows. A leader that stays silent is forgotten, and keepers are asked in turn.
 """
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class Leaders:
--- a/mothshed/common/listed.py
+++ b/mothshed/replicas/listed.py
@@ -8,10 +8,10 @@
 ends it. The last list counts while newer ones fail, however old it is.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.leaders as leaders
-import mothshed.common.replicas as replicas
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
+import mothshed.replicas.known_replicas as replicas
+import mothshed.replicas.leaders as leaders
 
 
 class Listed(replicas.Replicas):
--- a/mothshed/common/platform_list.py
+++ b/mothshed/replicas/platform_list.py
@@ -5,8 +5,8 @@
 fail; the last good one is kept. What leaves here is in our words.
 """
 
-import mothshed.common.constants as constants
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
 
 
 def read(desk, url):
--- a/mothshed/common/replica_adapter.py
+++ b/mothshed/replicas/replica_adapter.py
@@ -12,9 +12,9 @@
 import hashlib
 import json
 
-import mothshed.common.constants as constants
-import mothshed.common.verdict as verdict
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
+import mothshed.replicas.verdict as verdict
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mothshed/common/replica_load.py
+++ b/mothshed/replicas/replica_load.py
@@ -14,7 +14,7 @@
 import collections.abc
 import dataclasses
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 Wire = list[float]
 
--- a/mothshed/common/charts.py
+++ b/mothshed/runtime/charts.py
@@ -11,7 +11,7 @@
 >>> c.step("relay")
 Traceback (most recent call last):
 ...
-mothshed.common.charts.ChartFault: request: no 'relay' in state 'admitted'
+mothshed.runtime.charts.ChartFault: request: no 'relay' in state 'admitted'
 """
 
 import functools
--- a/mothshed/common/counters.py
+++ b/mothshed/runtime/counters.py
@@ -3,9 +3,9 @@
 import collections.abc
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.journal as journal
-import mothshed.common.ring as ring
+import mothshed.constants as constants
+import mothshed.runtime.journal as journal
+import mothshed.runtime.ring as ring
 
 Figures = collections.abc.Callable[[], dict[str, int]]
 
--- a/mothshed/common/fading.py
+++ b/mothshed/runtime/fading.py
@@ -3,7 +3,7 @@
 import collections.abc
 import threading
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 Amounts = tuple[float, ...]
 
--- a/mothshed/common/journal.py
+++ b/mothshed/runtime/journal.py
@@ -16,7 +16,7 @@
 import itertools
 import threading
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class Count:
--- /dev/null
+++ b/mothshed/runtime/mailbox.py
@@ -0,0 +1,21 @@
+"""A mailbox: callbacks posted to it run one after another."""
+
+import collections.abc
+import typing
+
+import pykka
+
+import mothshed.runtime.ring as ring
+
+
+class Mailbox(pykka.ThreadingActor):
+    """Runs the callbacks posted to it, one after another."""
+
+    use_daemon_thread = True
+
+    def on_receive(self, call: collections.abc.Callable[[], typing.Any]) -> None:
+        """Run one callback; one that fails is noted, and the next one runs."""
+        try:
+            call()
+        except Exception as error:  # the part lives on; the ring says what happened
+            ring.trouble("callback_failed", error)
--- a/mothshed/common/ring.py
+++ b/mothshed/runtime/ring.py
@@ -20,7 +20,7 @@
 
 import eliot
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 ROWS = collections.deque(maxlen=constants.RING_MOST)
 JOURNALS = []
--- a/mothshed/common/waker.py
+++ b/mothshed/runtime/waker.py
@@ -2,7 +2,7 @@
 
 import os
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class Waker:
--- a/mothshed/common/disk.py
+++ b/mothshed/storage/disk.py
@@ -11,7 +11,7 @@
 
 import contextlib
 
-import mothshed.common.folder as folder_module
+import mothshed.storage.folder as folder_module
 
 UNFINISHED = ".new"  # suffix of a file that `put` has not renamed yet
 
--- a/mothshed/common/disk_log.py
+++ b/mothshed/storage/disk_log.py
@@ -11,10 +11,10 @@
 import contextlib
 import json
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.log_format as log_format
-import mothshed.common.log_state as log_state
+import mothshed.constants as constants
+import mothshed.storage.disk as disk_module
+import mothshed.storage.log_format as log_format
+import mothshed.storage.log_state as log_state
 
 
 class PartLog(log_state.LogState):
--- a/mothshed/common/log_format.py
+++ b/mothshed/storage/log_format.py
@@ -17,7 +17,7 @@
 import struct
 import zlib
 
-import mothshed.common.disk as disk_module
+import mothshed.storage.disk as disk_module
 
 MARK = b"\xab\xfe"
 HEAD = struct.Struct("!2sII")  # mark, length of the body, its checksum
--- a/mothshed/common/log_state.py
+++ b/mothshed/storage/log_state.py
@@ -3,8 +3,8 @@
 import json
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
+import mothshed.constants as constants
+import mothshed.storage.disk as disk_module
 
 Entry = dict[str, typing.Any]  # {"i": index, "t": term, "c": command}
 
--- /dev/null
+++ b/mothshed/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Between our own processes: records, connections, gossip, remembered addresses."""
--- a/mothshed/common/gossip.py
+++ b/mothshed/transport/gossip.py
@@ -7,7 +7,7 @@
 place to ask, and the answer comes from the part's leader.
 """
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 
 class Gossip:
--- a/mothshed/common/link.py
+++ b/mothshed/transport/link.py
@@ -17,8 +17,8 @@
 import socket
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.records as records
+import mothshed.constants as constants
+import mothshed.transport.records as records
 
 
 class LinkFault(Exception):
--- a/mothshed/common/link_loop.py
+++ b/mothshed/transport/link_loop.py
@@ -13,11 +13,11 @@
 import threading
 import typing
 
-import mothshed.common.constants as constants
-import mothshed.common.link as link_module
-import mothshed.common.records as records
-import mothshed.common.ring as ring
-import mothshed.common.waker as waker_module
+import mothshed.constants as constants
+import mothshed.runtime.ring as ring
+import mothshed.runtime.waker as waker_module
+import mothshed.transport.link as link_module
+import mothshed.transport.records as records
 
 Deliver = collections.abc.Callable[[str, str, dict[str, typing.Any]], None]  # (sender, kind, fields)
 ENDINGS = (link_module.State.CLOSING, link_module.State.FLUSHING, link_module.State.CLOSED)
--- a/mothshed/common/peers.py
+++ b/mothshed/transport/peers.py
@@ -9,10 +9,10 @@
 import collections.abc
 import typing
 
-import mothshed.common.link_loop as link_loop
-import mothshed.common.records as records
-import mothshed.common.ring as ring
-import mothshed.common.world as world
+import mothshed.runtime.clock as clock
+import mothshed.runtime.ring as ring
+import mothshed.transport.link_loop as link_loop
+import mothshed.transport.records as records
 
 Body = dict[str, typing.Any]
 Receiver = collections.abc.Callable[[str, Body], None]  # (sender's address, fields of the record)
@@ -26,7 +26,7 @@
     """
 
     def __init__(
-        self, address: str, listen: str | None = None, now: collections.abc.Callable[[], float] = world.now
+        self, address: str, listen: str | None = None, now: collections.abc.Callable[[], float] = clock.now
     ) -> None:
         self.address = address
         self.receivers: dict[tuple[str, int | None], Receiver] = {}
--- a/mothshed/common/records.py
+++ b/mothshed/transport/records.py
@@ -15,7 +15,7 @@
 import typing
 import zlib
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 
 HEAD = struct.Struct("!4sHII")
 MARK = b"mth1"
@@ -67,7 +67,7 @@
 
     >>> check_fields("hand", {"part": 0, "term": 1, "who": "a/1", "round": 2})
     Traceback (most recent call last):
-    mothshed.common.records.RecordFault: hand carries part, term, who, not part, round, term, who
+    mothshed.transport.records.RecordFault: hand carries part, term, who, not part, round, term, who
     """
     carried = sorted(name for name, _code in SHAPES[kind])
     if sorted(body) != carried:
--- a/mothshed/common/remembered.py
+++ b/mothshed/transport/remembered.py
@@ -9,9 +9,9 @@
 
 import json
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.ring as ring
+import mothshed.constants as constants
+import mothshed.runtime.ring as ring
+import mothshed.storage.disk as disk_module
 
 FILE = "neighbours"
 
--- a/tests/all_orders.py
+++ b/tests/all_orders.py
@@ -9,7 +9,7 @@
 import random
 import types
 
-import mothshed.common.records as records
+import mothshed.transport.records as records
 import tools.simulator.desk as desk_module
 
 
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -7,7 +7,7 @@
 
 import itertools
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.reconfiguration as reconfiguration
 import tests.all_orders as all_orders
--- a/tests/log_crashes.py
+++ b/tests/log_crashes.py
@@ -8,8 +8,8 @@
 import dataclasses
 import itertools
 
-import mothshed.common.disk as disk_module
-import mothshed.common.disk_log as disk_log
+import mothshed.storage.disk as disk_module
+import mothshed.storage.disk_log as disk_log
 import tools.simulator.volatile_folder as volatile_folder
 
 
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -4,7 +4,7 @@
 
 import hypothesis.strategies as strategies
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
 import tests.fronts as fronts
--- a/tests/order_group.py
+++ b/tests/order_group.py
@@ -1,6 +1,6 @@
 """Three members of one part as an order duty sees them: who leads, who is frozen, what their lease shows."""
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.service_part as service_part
 import tests.all_orders as all_orders
--- a/tests/peer_nodes.py
+++ b/tests/peer_nodes.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-import mothshed.common.peers as peers
-import mothshed.common.records as records
+import mothshed.transport.peers as peers
+import mothshed.transport.records as records
 import tools.fleet as fleet
 
 WAIT = 20.0  # s; longest wait for what must come
--- a/tests/platform_door.py
+++ b/tests/platform_door.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-import mothshed.common.disk as disk
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.data_plane.router as router_module
+import mothshed.storage.disk as disk
 import tests.platform_site as platform_site
 import tests.platform_stand_in as stand_in
 import tools.fleet as fleet
@@ -22,7 +22,7 @@
         place, list_url = desk.address, f"http://{self.platform.address}"
 
         def new_desk():
-            made.append(platform_site.world.Desk(desk.beats, desk.peers, place))
+            made.append(platform_site.environment.Desk(desk.beats, desk.peers, place))
             return made[-1]
 
         speech = platform_site.replica_speech.Speech()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -11,10 +11,11 @@
 import threading
 import time
 
-import mothshed.common.configuration as configuration
-import mothshed.common.peers as peers
-import mothshed.common.world as world
+import mothshed.configuration.document as configuration
 import mothshed.data_plane.router as router_module
+import mothshed.programs.environment as environment
+import mothshed.runtime.timers as timers
+import mothshed.transport.peers as peers
 import tests.platform_stand_in as stand_in
 import tools.fleet as fleet
 
@@ -127,7 +128,7 @@
 
 def desk():
     host = f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
-    return world.Desk(world.Beats(), peers.Peers(host), host)
+    return environment.Desk(timers.Timers(), peers.Peers(host), host)
 
 
 def serve(server):
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -7,7 +7,18 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
-PACKAGES = ("mothshed.common", "mothshed.control_plane", "mothshed.data_plane", "mothshed.programs")
+PACKAGES = (
+    "mothshed.constants",
+    "mothshed.runtime",
+    "mothshed.storage",
+    "mothshed.http",
+    "mothshed.transport",
+    "mothshed.configuration",
+    "mothshed.replicas",
+    "mothshed.control_plane",
+    "mothshed.data_plane",
+    "mothshed.programs",
+)
 TOP = ("platform", "tools", "tests")
 ALL_OURS = (*PACKAGES, *TOP)
 
@@ -101,15 +112,16 @@
 
 
 def test_a_forbidden_import_and_a_circle_are_found():
-    graph = {"mothshed.common.web": {"tools.fleet"}, "tools.fleet": {"mothshed.common.web"}, "tests.one": set()}
-    assert refused("mothshed.common", graph, allowed()) == [("mothshed.common.web", "tools.fleet")]
+    graph = {"mothshed.http.web": {"tools.fleet"}, "tools.fleet": {"mothshed.http.web"}, "tests.one": set()}
+    assert refused("mothshed.http", graph, allowed()) == [("mothshed.http.web", "tools.fleet")]
     assert refused("tools", graph, allowed()) == []
-    assert circles(graph) == ["mothshed.common.web", "tools.fleet"]
+    assert circles(graph) == ["mothshed.http.web", "tools.fleet"]
 
 
 def test_every_file_named_on_the_page_exists():
     page = (ROOT / "docs" / "architecture.md").read_text()
-    named = re.findall(r"`((?:common|control_plane|data_plane|platform)/\w+)`", page)
+    folders = "|".join(name.removeprefix("mothshed.") for name in (*PACKAGES, "platform"))
+    named = re.findall(rf"`((?:{folders})/\w+)`", page)
     assert (
         named
         and [name for name in named if not any((base / f"{name}.py").exists() for base in (ROOT, ROOT / "mothshed"))]
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -8,13 +8,13 @@
 
 import pytest
 
-import mothshed.common.configuration as configuration
-import mothshed.common.constants as constants
-import mothshed.common.link as link
-import mothshed.common.peers as peers
-import mothshed.common.records as records
-import mothshed.common.settings as settings
+import mothshed.configuration.document as configuration
+import mothshed.configuration.settings as settings
+import mothshed.constants as constants
 import mothshed.control_plane.keeper_front as keeper_front
+import mothshed.transport.link as link
+import mothshed.transport.peers as peers
+import mothshed.transport.records as records
 import tests.fronts as fronts
 import tools.fleet as fleet
 import tools.simulator.fleet as sim
--- a/tests/test_bad_replica_answers.py
+++ b/tests/test_bad_replica_answers.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-import mothshed.common.caller as caller
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.verdict as verdict
+import mothshed.http.caller as caller
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
 
 GOOD = [
     b'data: {"id": "cmpl-a1", "choices": [{"text": "x ", "finish_reason": null}]}',
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,6 +1,6 @@
 """The retry budget over a fleet: no order of loans spends more than was earned, and loans do help."""
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.data_plane.budget as budget
 import tests.all_orders as all_orders
 import tools.simulate as simulate
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-import mothshed.common.caller as caller
-import mothshed.common.cancellation as cancellation_module
-import mothshed.common.kept as kept_module
-import mothshed.common.web as web
-import mothshed.common.world as world
+import mothshed.http.caller as caller
+import mothshed.http.kept as kept_module
+import mothshed.http.web as web
+import mothshed.runtime.cancellation as cancellation_module
+import mothshed.runtime.clock as clock
 import tests.bare_http as bare_http
 
 
@@ -93,7 +93,7 @@
 
     def send():
         with pytest.raises(web.WebFault) as fault:
-            exchange(kept_module.Kept(world.now), server, "/silent", cancellation)
+            exchange(kept_module.Kept(clock.now), server, "/silent", cancellation)
         faults.append(fault.value)
 
     sender = threading.Thread(target=send)
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize("whole_first", [True, False], ids=["after the body", "before its end"])
 def test_a_connection_is_used_again_only_if_it_was_let_go_first(server, whole_first):
-    connections, cancellation = kept_module.Kept(world.now), cancellation_module.Cancellation()
+    connections, cancellation = kept_module.Kept(clock.now), cancellation_module.Cancellation()
     reply = exchange(connections, server, "/", cancellation)
     if whole_first:
         assert reply.all() == b"body"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tools.capacity as capacity
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
--- a/tests/test_commit_moments.py
+++ b/tests/test_commit_moments.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.commit_moments as commit_moments
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.lease_bounds as lease_bounds
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -6,7 +6,7 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.taken_orders as taken_orders
 
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.fronts as fronts
 import tests.operators as operators
 import tests.platform_site as platform_site
--- a/tests/test_configuration_races.py
+++ b/tests/test_configuration_races.py
@@ -5,7 +5,7 @@
 import hypothesis
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.fronts as fronts
 import tests.operators as operators
 import tests.platform_site as platform_site
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-import mothshed.common.front as front
-import mothshed.common.world as world
+import mothshed.http.front as front
+import mothshed.programs.environment as environment
+import mothshed.runtime.clock as clock
 import tests.fleets as fleets
 import tools.callers as callers
 
@@ -44,7 +45,9 @@
         for line in lines(router, 400, data):
             stack.enter_context(line)
         rows = [
-            callers.send(world.Tasks(), router, "shift-notes", callers.make("crowd", n, ["dispatch"]) | {"id": f"c{n}"})
+            callers.send(
+                environment.Tasks(), router, "shift-notes", callers.make("crowd", n, ["dispatch"]) | {"id": f"c{n}"}
+            )
             for n in range(3)
         ]
         assert [r["end"] for r in rows] == ["whole"] * 3
@@ -94,7 +97,7 @@
             closed.set()
 
     def app(environ, start):
-        environ["mothshed.caller"].shut_after(world.now() + 0.5)
+        environ["mothshed.caller"].shut_after(clock.now() + 0.5)
         start("200 OK", [("Content-Type", "text/plain")])
         return Endless()
 
--- a/tests/test_delivery_connections.py
+++ b/tests/test_delivery_connections.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.kept as kept
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.kept as kept
+import mothshed.http.web as web
 import tests.bare_http as bare_http
 
 
--- a/tests/test_delivery_parts.py
+++ b/tests/test_delivery_parts.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.events as events
-import mothshed.common.lease as lease_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.leaseholder as leaseholder
 import mothshed.control_plane.member as member_module
+import mothshed.http.events as events
 import tests.all_orders as all_orders
 
 TEXTS = {
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.journal as journal
-import mothshed.common.listed as listed
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.placing as placing
 import mothshed.data_plane.prompt_parts as prompt_parts
+import mothshed.replicas.listed as listed
+import mothshed.replicas.replica_load as replica_load
+import mothshed.runtime.journal as journal
 import tests.all_orders as all_orders
 
 ENGINE = {"memory_tokens": 1000, "handle_life_s": 5.0}
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk
-import mothshed.common.disk_log as disk_log
+import mothshed.constants as constants
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.member as member
+import mothshed.storage.disk as disk
+import mothshed.storage.disk_log as disk_log
 import tests.all_orders as all_orders
 import tools.keep_on_bad_disk as keep_on_bad_disk
 
--- a/tests/test_disk_bounds.py
+++ b/tests/test_disk_bounds.py
@@ -1,8 +1,8 @@
 """What a part's log takes of the disk and of handles is bounded, however long it runs."""
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk
-import mothshed.common.disk_log as disk_log
+import mothshed.constants as constants
+import mothshed.storage.disk as disk
+import mothshed.storage.disk_log as disk_log
 import tests.log_crashes as log_crashes
 import tools.simulator.volatile_folder as volatile_folder
 
--- a/tests/test_disk_crashes.py
+++ b/tests/test_disk_crashes.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
+import mothshed.constants as constants
+import mothshed.storage.disk as disk_module
 import tests.log_crashes as log_crashes
 import tools.simulator.volatile_folder as volatile_folder
 
--- a/tests/test_disk_damage.py
+++ b/tests/test_disk_damage.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.log_format as log_format
+import mothshed.constants as constants
+import mothshed.storage.disk as disk_module
+import mothshed.storage.log_format as log_format
 import tests.log_crashes as log_crashes
 import tools.simulator.volatile_folder as volatile_folder
 
--- a/tests/test_disk_protections.py
+++ b/tests/test_disk_protections.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-import mothshed.common.disk as disk_module
-import mothshed.common.disk_log as disk_log
-import mothshed.common.log_format as log_format
+import mothshed.storage.disk as disk_module
+import mothshed.storage.disk_log as disk_log
+import mothshed.storage.log_format as log_format
 import tests.log_crashes as log_crashes
 import tools.simulator.volatile_folder as volatile_folder
 
--- a/tests/test_disk_walks.py
+++ b/tests/test_disk_walks.py
@@ -11,9 +11,9 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
-import mothshed.common.disk_log as disk_log
+import mothshed.constants as constants
+import mothshed.storage.disk as disk_module
+import mothshed.storage.disk_log as disk_log
 import tests.log_crashes as log_crashes
 import tools.simulator.volatile_folder as volatile_folder
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")])
@@ -24,7 +24,7 @@
 
 
 def test_constants_named_on_the_pages_exist():
-    said = set(re.findall(r"^([A-Z_]+) = ", (ROOT / "mothshed" / "common" / "constants.py").read_text(), re.M))
+    said = set(re.findall(r"^([A-Z_]+) = ", (ROOT / "mothshed" / "constants.py").read_text(), re.M))
     for page in ("platform.md", "operate.md"):
         named = set(re.findall(r"`([A-Z]+_[A-Z_]+)`", (ROOT / "docs" / page).read_text()))
         assert named - said == set()
--- a/tests/test_door_properties.py
+++ b/tests/test_door_properties.py
@@ -13,7 +13,7 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.front as front
+import mothshed.http.front as front
 import tests.platform_site as platform_site
 
 EXAMPLES = int(os.environ.get("MOTHSHED_EXAMPLES", "60"))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-import mothshed.common.kept as kept
-import mothshed.common.web as web
+import mothshed.http.kept as kept
+import mothshed.http.web as web
 import tests.bare_http as bare_http
 import tests.platform_site as platform_site
 
--- a/tests/test_first_list.py
+++ b/tests/test_first_list.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.journal as journal
-import mothshed.common.listed as listed
+import mothshed.constants as constants
+import mothshed.replicas.listed as listed
+import mothshed.runtime.journal as journal
 import tests.all_orders as all_orders
 
 
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.election as election
 import tests.group_model as group_model
 
--- a/tests/test_front_threads.py
+++ b/tests/test_front_threads.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-import mothshed.common.constants as constants
-import mothshed.common.front as front
+import mothshed.constants as constants
+import mothshed.http.front as front
 
 MOST = 3 * constants.FRONT_STEP
 
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -7,7 +7,7 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.membership as membership
 import mothshed.control_plane.replication as replication
 import tests.group_model as group_model
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.front as front
-import mothshed.common.idle as idle
-import mothshed.common.world as world
+import mothshed.constants as constants
+import mothshed.http.front as front
+import mothshed.http.idle as idle
+import mothshed.runtime.clock as clock_module
 import tests.bare_http as bare_http
 import tests.platform_site as platform_site
 
@@ -22,7 +22,7 @@
 def clock(monkeypatch):
     """A clock that stands still until it is moved."""
     found = types.SimpleNamespace(time=1000.0)
-    monkeypatch.setattr(world, "now", lambda: found.time)
+    monkeypatch.setattr(clock_module, "now", lambda: found.time)
     return found
 
 
@@ -38,7 +38,7 @@
 class Conn:
     def __init__(self, manager):
         self.socket, self.other = socket.socketpair()
-        self.idle_since, self.closed = world.now(), False
+        self.idle_since, self.closed = clock_module.now(), False
         manager._selector.register(self.socket.fileno(), selectors.EVENT_READ, data=self)
 
     def close(self):
--- a/tests/test_last_responses.py
+++ b/tests/test_last_responses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-import mothshed.common.kept as kept
+import mothshed.http.kept as kept
 import tests.bare_http as bare_http
 import tests.platform_site as platform_site
 
--- a/tests/test_lease_restart.py
+++ b/tests/test_lease_restart.py
@@ -1,7 +1,7 @@
 """A record meant for the process before, at the same address, is no answer to its successor."""
 
-import mothshed.common.constants as constants
-import mothshed.common.lease as lease_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import tests.all_orders as all_orders
 
 ADDRESS, KEEPER = "r:1", "k:1"
--- a/tests/test_lease_state.py
+++ b/tests/test_lease_state.py
@@ -6,8 +6,8 @@
 import hypothesis
 import hypothesis.strategies as strategies
 
-import mothshed.common.constants as constants
-import mothshed.common.lease as lease_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import tests.all_orders as all_orders
 
--- a/tests/test_lease_storm.py
+++ b/tests/test_lease_storm.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tools.simulator.end_of_day as end_of_day
 import tools.simulator.fleet as sim
 
--- a/tests/test_leave_in_doubt.py
+++ b/tests/test_leave_in_doubt.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.group_model as group_model
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.gossip as gossip
-import mothshed.common.replicas as replicas
+import mothshed.constants as constants
+import mothshed.replicas.known_replicas as replicas
+import mothshed.transport.gossip as gossip
 import tests.all_orders as all_orders
 import tools.simulator.end_of_day as end_of_day
 import tools.simulator.fleet as sim
--- a/tests/test_log_transfer.py
+++ b/tests/test_log_transfer.py
@@ -3,7 +3,7 @@
 import json
 import random
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.progress as progress_module
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 import tests.group_model as group_model
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-import mothshed.common.journal as journal_module
-import mothshed.common.ring as ring
 import mothshed.programs.logs as logs
+import mothshed.runtime.journal as journal_module
+import mothshed.runtime.ring as ring
 
 
 @pytest.fixture
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-import mothshed.common.configuration as configuration
-import mothshed.common.manifests as manifests
+import mothshed.configuration.document as configuration
+import mothshed.configuration.manifests as manifests
 
 GOOD = """
 apiVersion: mothshed/v1
--- a/tests/test_open_disk.py
+++ b/tests/test_open_disk.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk_module
+import mothshed.constants as constants
 import mothshed.programs.serving as serving
+import mothshed.storage.disk as disk_module
 
 
 def test_a_start_waits_for_a_disk_that_refuses(tmp_path, monkeypatch):
--- a/tests/test_operator_calls.py
+++ b/tests/test_operator_calls.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.keeper_front as keeper_front
 import tests.fronts as fronts
 import tests.operators as operators
--- a/tests/test_order_last_check.py
+++ b/tests/test_order_last_check.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
 import tests.order_group as order_group
 import tests.platform_site as platform_site
 
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -6,7 +6,7 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.order_group as order_group
 
 STEADY = hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.lease as lease_module
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.service_part as service_part
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -4,7 +4,7 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.data_plane.outcomes as outcomes
 import tests.platform_site as platform_site
 import tests.test_delivery_placing as test_delivery_placing
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.link as link_module
-import mothshed.common.records as records
+import mothshed.constants as constants
+import mothshed.transport.link as link_module
+import mothshed.transport.records as records
 import tests.peer_nodes as peer_nodes
 import tools.fleet as fleet
 
--- a/tests/test_plan_over_changes.py
+++ b/tests/test_plan_over_changes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 import mothshed.data_plane.routes as routes
 import tests.platform_site as platform_site
 
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.platform_site as platform_site
 
 PLAIN = {"events": 0}
--- a/tests/test_platform_operator.py
+++ b/tests/test_platform_operator.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.platform_door as platform_door
 import tests.platform_site as platform_site
 
--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tests.platform_site as platform_site
 
 INNER = b"POST /p/in HTTP/1.1\r\nHost: %b\r\nTry-Id: smuggled-%b\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -5,7 +5,7 @@
 import time
 import unittest.mock
 
-import mothshed.common.world as world
+import mothshed.runtime.clock as clock
 import tools.proof_table as proof_table
 import tools.simulate as simulate
 import tools.simulator.days as days
@@ -39,7 +39,7 @@
             ):
                 found.append(path.name)
     assert sorted(set(found)) == ["router_front.py"] and len(found) == 2
-    assert abs(world.now() - time.clock_gettime(time.CLOCK_BOOTTIME)) < 60
+    assert abs(clock.now() - time.clock_gettime(time.CLOCK_BOOTTIME)) < 60
 
 
 def test_clocks_a_day_is_the_same_whatever_the_wall_clock_does():
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -1,6 +1,6 @@
 """Repair: what a missing member or router should have had is kept for it, within bounds."""
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import tools.simulate as simulate
 import tools.simulator.end_of_day as end_of_day
 import tools.simulator.fleet as sim
--- a/tests/test_reply_properties.py
+++ b/tests/test_reply_properties.py
@@ -11,8 +11,8 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.kept as kept
-import mothshed.common.web as web
+import mothshed.http.kept as kept
+import mothshed.http.web as web
 import tests.bare_http as bare_http
 
 EXAMPLES = int(os.environ.get("MOTHSHED_EXAMPLES", "60"))
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-import mothshed.common.counters as counters
-import mothshed.common.journal as journal
-import mothshed.common.ring as ring
+import mothshed.runtime.counters as counters
+import mothshed.runtime.journal as journal
+import mothshed.runtime.ring as ring
 
 
 @pytest.fixture
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-import mothshed.common.chunked as chunked
-import mothshed.common.constants as constants
+import mothshed.constants as constants
+import mothshed.http.chunked as chunked
 import tests.platform_site as platform_site
 
 
--- a/tests/test_service_without_model.py
+++ b/tests/test_service_without_model.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-import mothshed.common.journal as journal
-import mothshed.common.listed as listed
 import mothshed.data_plane.pair as pair_module
+import mothshed.replicas.listed as listed
+import mothshed.runtime.journal as journal
 import tests.order_group as order_group
 import tests.platform_site as platform_site
 import tests.test_delivery_placing as test_delivery_placing
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.service_part as service_part
 
 POOL = {
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,14 +3,14 @@
 import signal
 import threading
 
-import mothshed.common.world as world
+import mothshed.programs.environment as environment
 import tests.fleets as fleets
 import tools.callers as callers
 
 
 def test_sigterm_lets_streams_end_and_bounces_the_rest(tmp_path):
     with fleets.serving(tmp_path, 2, 2) as fleet:
-        desk, router, rows = world.Tasks(), fleet.settings["route-1"]["http"], []
+        desk, router, rows = environment.Tasks(), fleet.settings["route-1"]["http"], []
         call = {**callers.make(1, 1, ["dispatch"]), "tokens": 150, "stream": True, "kind": "question"}
 
         def send():
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -37,7 +37,7 @@
 
 
 def test_every_constant_has_unit_and_reason():
-    lines = (ROOT / "mothshed" / "common" / "constants.py").read_text().splitlines()
+    lines = (ROOT / "mothshed" / "constants.py").read_text().splitlines()
     assert [line for line in lines if re.match(r"[A-Z_]+ = ", line) and len(line.partition("#")[2].split()) < 4] == []
 
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-import mothshed.common.ring as ring
+import mothshed.runtime.ring as ring
 
 
 @pytest.mark.parametrize(
--- a/tests/test_writer_capacity.py
+++ b/tests/test_writer_capacity.py
@@ -7,10 +7,10 @@
 import hypothesis.strategies as strategies
 import pytest
 
-import mothshed.common.constants as constants
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.control_plane.writer_capacity as writer_capacity
+import mothshed.replicas.replica_load as replica_load
 import tests.all_orders as all_orders
 
 STEADY = hypothesis.settings(derandomize=True, max_examples=150, deadline=None, database=None)
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -9,7 +9,7 @@
 import json
 import random
 
-import mothshed.common.web as web
+import mothshed.http.web as web
 import tools.replica_memory as replica_memory
 
 SHARED = {
--- a/tools/changes.py
+++ b/tools/changes.py
@@ -12,7 +12,7 @@
 import dataclasses
 import json
 
-import mothshed.common.records as records
+import mothshed.transport.records as records
 import tools.simulator.fleet as fleet
 
 GAP = 0.05  # s; between two changes
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,7 +16,7 @@
 
 import urllib3
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 import mothshed.programs.ask as ask
 import tools.deployments as deployments
 import tools.relay as relay
--- a/tools/fleet_faults.py
+++ b/tools/fleet_faults.py
@@ -10,7 +10,7 @@
 import signal
 import threading
 
-import mothshed.common.world as world
+import mothshed.runtime.clock as clock
 import tools.fleet as fleet_module
 
 BACK = 2.0  # s until something killed is started again
@@ -75,7 +75,7 @@
             self.later(at, lambda name=name: self.run(name))
 
     def run(self, name):
-        self.log.append((round(world.now(), 2), name))
+        self.log.append((round(clock.now(), 2), name))
         getattr(self, name)()
 
     def back(self, name):
@@ -174,10 +174,10 @@
     def write(self, base, mark, body):
         code, said = self.fleet.apply(base, body, mark)
         if code == 0:
-            self.writes.append({"id": mark, "sequence": said["sequence"], "acked": world.now(), "base": base})
+            self.writes.append({"id": mark, "sequence": said["sequence"], "acked": clock.now(), "base": base})
         elif code == 5:
             self.refused.append(mark)
-        self.log.append((round(world.now(), 2), f"{mark}: exit {code}"))
+        self.log.append((round(clock.now(), 2), f"{mark}: exit {code}"))
 
     def race(self):
         base = self.fleet.config()["latest"]
--- a/tools/fleet_run.py
+++ b/tools/fleet_run.py
@@ -7,7 +7,8 @@
 import tempfile
 import time
 
-import mothshed.common.world as world
+import mothshed.programs.environment as environment
+import mothshed.runtime.clock as clock
 import tools.callers as callers
 import tools.deployments as deployments
 import tools.fleet as fleet_module
@@ -80,13 +81,13 @@
         code, said = fleet.apply(0, body, "first")
         if code:
             raise RuntimeError(f"the first configuration was not accepted: {said}")
-        writes.append({"id": "first", "sequence": said["sequence"], "acked": world.now()})
+        writes.append({"id": "first", "sequence": said["sequence"], "acked": clock.now()})
         out(f"{deployment}: {len(fleet.procs)} processes, serving after {fleet.wait_serving():.1f} s")
         begun(fleet)
         hurt = fleet_faults.Faults(fleet, writes)
         hurt.plan(faults)
         calls = callers.traffic(seed, fleet.plan["tenants"], rate or fleet.plan["rate"], seconds, kinds)
-        load = callers.Load(world.Tasks(), seed, fleet.routers(), body["model"], calls)
+        load = callers.Load(environment.Tasks(), seed, fleet.routers(), body["model"], calls)
         rows = load.run()
         for thread in hurt.threads:
             thread.join(60)
@@ -94,7 +95,7 @@
         final = read_back.read_back(fleet.config, [row["id"] for row in writes] + list(hurt.refused))
         ledger, shown = fleet.ledger(), fleet.shown_leaving()
         rules = judge.all_rules(rows, ledger, writes, shown, final, hurt.refused)
-        rules["freed"] = judge_traffic.freed(ledger, world.now() - 1.0)
+        rules["freed"] = judge_traffic.freed(ledger, clock.now() - 1.0)
         for at, what in hurt.log:
             out(f"  fault at {at:.2f}: {what}")
         for line in figures(rows, ledger, kinds):
--- a/tools/hollow/books.py
+++ b/tools/hollow/books.py
@@ -10,7 +10,7 @@
 import heapq
 import time
 
-import mothshed.common.records as records
+import mothshed.transport.records as records
 import tools.hollow.design as design
 import tools.simulator.loop as loop_module
 import tools.simulator.network as network
--- a/tools/hollow/design.py
+++ b/tools/hollow/design.py
@@ -8,7 +8,7 @@
 import json
 import random
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 
 REGIONS, ZONES = ("north", "middle", "south"), 8
 CELLS = [f"{REGIONS[at % 3]}-{at // 3 + 1}" for at in range(ZONES)]
--- a/tools/hollow/fleet.py
+++ b/tools/hollow/fleet.py
@@ -8,7 +8,7 @@
 
 import json
 
-import mothshed.common.constants as constants
+import mothshed.constants as constants
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.data_plane.router as router_module
 import tools.hollow.books as books_module
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -5,13 +5,13 @@
 import time
 import tracemalloc
 
-import mothshed.common.constants as constants
-import mothshed.common.disk_log as disk_log
-import mothshed.common.records as records
-import mothshed.common.replica_load as replica_load
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.data_plane.route_front as route_front
+import mothshed.replicas.replica_load as replica_load
+import mothshed.storage.disk_log as disk_log
+import mothshed.transport.records as records
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
 import tools.simulator.desk as desk_module
--- a/tools/hollow/real.py
+++ b/tools/hollow/real.py
@@ -6,11 +6,12 @@
 import threading
 import time
 
-import mothshed.common.front as front
-import mothshed.common.link as link
-import mothshed.common.peers as peers
-import mothshed.common.records as records
-import mothshed.common.world as world
+import mothshed.http.front as front
+import mothshed.programs.environment as environment
+import mothshed.runtime.timers as timers
+import mothshed.transport.link as link
+import mothshed.transport.peers as peers
+import mothshed.transport.records as records
 
 
 def condition_of(pid="self"):
@@ -28,7 +29,7 @@
 def idle_router(replicas, tenants):
     """Resident KiB of one router process, step by step, nothing served yet."""
     bare = condition_of()
-    import mothshed.common.constants as constants
+    import mothshed.constants as constants
     import mothshed.data_plane.router as router_module
     import mothshed.programs.process  # noqa: F401 (weighed: what the program itself imports beside)
     import tools.hollow.design as design  # after the bare figure
@@ -37,7 +38,7 @@
     loaded = condition_of()
     address, http = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
     own = peers.Peers(address)
-    desk = world.Desk(world.Beats(), own, address)
+    desk = environment.Desk(timers.Timers(), own, address)
     speech = speech_module.Speech()
     router = router_module.Router(
         desk, {"name": "r", "cell": "a", "seeds": [], "list_url": "http://127.0.0.1:1", "http": http}, speech
@@ -98,8 +99,8 @@
 def records_between(body_bytes, most=1.5):
     """Processor time of one record from one real process part to another and back, both ends in it."""
     ends = [f"127.0.0.1:{free_port()}" for _ in range(2)]
-    beats, gate = world.Beats(), threading.Event()
-    desks = [world.Desk(beats, peers.Peers(at), at) for at in ends]
+    beats, gate = timers.Timers(), threading.Event()
+    desks = [environment.Desk(beats, peers.Peers(at), at) for at in ends]
     text = "r" * body_bytes
     desks[1].hear("paid", lambda who, body: desks[1].tell(who, "paid", request=text, replica="i"))
     desks[0].hear("paid", lambda who, body: gate.set())
--- a/tools/hollow/speech.py
+++ b/tools/hollow/speech.py
@@ -4,7 +4,7 @@
 is not counted here.
 """
 
-import mothshed.common.web as web
+import mothshed.http.web as web
 
 
 class Speech:
--- a/tools/keep_on_bad_disk.py
+++ b/tools/keep_on_bad_disk.py
@@ -11,9 +11,9 @@
 import pathlib
 import time
 
-import mothshed.common.disk as disk_module
-import mothshed.common.folder as folder_module
 import mothshed.programs.keep as keep
+import mothshed.storage.disk as disk_module
+import mothshed.storage.folder as folder_module
 
 
 class BadFolder(folder_module.Folder):
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -8,7 +8,7 @@
 import pathlib
 import re
 
-CONSTANTS = "mothshed/common/constants.py"
+CONSTANTS = "mothshed/constants.py"
 PLACING = "mothshed/data_plane/placing.py"
 SENDS = "mothshed/data_plane/delivery_sends.py"
 LOAD_SUMS = "mothshed/control_plane/usage_duty.py"
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -10,8 +10,8 @@
 import threading
 import time
 
-import mothshed.common.link as link
-import mothshed.common.records as records
+import mothshed.transport.link as link
+import mothshed.transport.records as records
 
 LOOK = 0.02  # s; a held pump looks this often whether its cut is healed
 
--- a/tools/replica_memory.py
+++ b/tools/replica_memory.py
@@ -10,7 +10,7 @@
 import json
 import threading
 
-import mothshed.common.replica_adapter as replica_adapter
+import mothshed.replicas.replica_adapter as replica_adapter
 
 HOLD = 12.0  # s; exported memory nobody took lapses after this
 SLOTS = {"prefill": 4, "decode": 8, "none": 4}
--- a/tools/runbook.py
+++ b/tools/runbook.py
@@ -16,7 +16,7 @@
 import voluptuous
 import yaml
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 import tools.runbook_verbs as verbs
 
 FOLDER = pathlib.Path(__file__).parent / "runbooks"
--- a/tools/runbook_verbs.py
+++ b/tools/runbook_verbs.py
@@ -8,7 +8,7 @@
 
 import re
 
-import mothshed.common.configuration as configuration
+import mothshed.configuration.document as configuration
 import mothshed.programs.ask as ask
 import mothshed.programs.document_file as document_file
 
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -4,7 +4,7 @@
 import math
 import random
 
-import mothshed.common.disk as disk_module
+import mothshed.storage.disk as disk_module
 import tools.simulator.loop as loop_module
 import tools.simulator.network as network
 import tools.simulator.volatile_folder as volatile_folder
--- a/tools/simulator/fleet.py
+++ b/tools/simulator/fleet.py
@@ -7,11 +7,11 @@
 
 import random
 
-import mothshed.common.ring as ring
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.control_plane.keeper_front as keeper_front
 import mothshed.data_plane.router as router_module
 import mothshed.data_plane.router_front as router_front
+import mothshed.runtime.ring as ring
 import tools.callers as callers
 import tools.deployments as deployments
 import tools.replica_memory as replica_memory
--- a/tools/simulator/network.py
+++ b/tools/simulator/network.py
@@ -9,9 +9,9 @@
 import io
 import json
 
-import mothshed.common.constants as constants
-import mothshed.common.records as records
-import mothshed.common.web as web
+import mothshed.constants as constants
+import mothshed.http.web as web
+import mothshed.transport.records as records
 
 LOW, SPAN = 0.0003, 0.0012  # s; a local network's delay
 
--- a/tools/simulator/volatile_folder.py
+++ b/tools/simulator/volatile_folder.py
@@ -1,6 +1,6 @@
 """A folder in memory that can lose power between any two calls.
 
-It has the interface of mothshed.common.folder.Folder. What a loss of power leaves:
+It has the interface of mothshed.storage.folder.Folder. What a loss of power leaves:
 a file holds what its last fsync covered; each later write is present, absent or
 torn by itself, or all of them are gone. A new file lasts once it is itself synced;
 a name renamed or removed lasts once the folder has been synced, and until then
--- a/tools/stand_in_list.py
+++ b/tools/stand_in_list.py
@@ -11,12 +11,12 @@
 import json
 import threading
 
-import mothshed.common.front as front
-import mothshed.common.world as world
+import mothshed.http.front as front
+import mothshed.runtime.clock as clock
 
 
 class PlatformList:
-    def __init__(self, lag=0.0, now=world.now):
+    def __init__(self, lag=0.0, now=clock.now):
         self.lag, self.now = lag, now
         self.lock = threading.Lock()
         self.past = [(now() - 1e6, {})]  # (when, items)
--- a/tools/stand_in_replica.py
+++ b/tools/stand_in_replica.py
@@ -12,9 +12,9 @@
 import json
 import os
 
-import mothshed.common.front as front
-import mothshed.common.web as web
-import mothshed.common.world as world
+import mothshed.http.front as front
+import mothshed.http.web as web
+import mothshed.programs.environment as environment
 import tools.replica_memory as replica_memory
 import tools.token_stream as token_stream
 
@@ -225,7 +225,7 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--ledger")
     args = parser.parse_args()
-    memory = replica_memory.Memory(world.Tasks(), args.name, args.ledger)
+    memory = replica_memory.Memory(environment.Tasks(), args.name, args.ledger)
     front.Server(args.address, Replica(memory, args.address), THREADS).safe_start()
 
 
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -1,10 +1,7 @@
 """The protections, each with a way to take it out, the day that needs it and its rule."""
 
-import mothshed.common.constants as constants
-import mothshed.common.lease as lease
-import mothshed.common.remembered as remembered
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.replicas as replicas
+import mothshed.configuration.lease as lease
+import mothshed.constants as constants
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.orders as orders
@@ -17,6 +14,9 @@
 import mothshed.data_plane.frees as frees
 import mothshed.data_plane.guard as guard
 import mothshed.data_plane.router as router
+import mothshed.replicas.known_replicas as replicas
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.transport.remembered as remembered
 import tools.replica_memory as replica_memory
 import tools.simulator.desk as desk
 import tools.weakened as weakened
--- a/tools/weakened.py
+++ b/tools/weakened.py
@@ -3,17 +3,17 @@
 import contextlib
 import unittest.mock
 
-import mothshed.common.constants as constants
-import mothshed.common.disk as disk
-import mothshed.common.disk_log as disk_log
-import mothshed.common.replica_adapter as replica_adapter
-import mothshed.common.replicas as replicas
-import mothshed.common.verdict as verdict
+import mothshed.constants as constants
 import mothshed.control_plane.member as member
 import mothshed.control_plane.orders as orders
 import mothshed.control_plane.service_part as service_part
 import mothshed.data_plane.admission as admission
 import mothshed.data_plane.carry as carry
+import mothshed.replicas.known_replicas as replicas
+import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
+import mothshed.storage.disk as disk
+import mothshed.storage.disk_log as disk_log
 
 
 def put(leader, **changes):
