A keeper whose disk failed opens its parts again instead of ending itself

Ruled out: memory, port, a signal at the start. Now the parts that the disk failed are opened again in the process, as a start would: term, vote and entries are read from the disk; the other parts go on. Damage still needs a wiped folder.

--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -1,8 +1,7 @@
 """All constants of mothshed, each with its unit and its reason.
 
-Nothing else in the tree holds a tunable number. The timing argument that ties
-the lease, vote and activation figures together is in docs/configuration.md;
-change one of them only together with that page.
+Nothing else in the tree holds a tunable number. The timing argument that ties the lease, vote and
+activation figures together is in docs/configuration.md; change one of them only together with that page.
 """
 
 # --- agreement between keepers -------------------------------------------
@@ -244,8 +243,7 @@
 PEER_IDLE = 8.0  # s; a connection unused both ways for longer is closed: a view's neighbours are met every 6 s.
 PEER_LOOK = 0.5  # s; connections are looked over this often.
 PEER_BACKLOG = 256  # connections that wait to be accepted: every router turns to a new leader at once.
-PEER_READ_BYTES = 65536  # bytes read from a peer at once.
-EOF_BYTES = 65536  # bytes of a body read at once.
+READ_BYTES = 65536  # bytes read from a connection at once.
 HTTP_POOL = 64  # kept connections per back end for probes and lists.
 READY_THREADS = 2  # threads of the front that says ready; one caller asks once a second.
 KEPT_CALLERS = 1000  # idle connections of user agents a front keeps open.
--- a/mothshed/control_plane/confirmed_calls.py
+++ b/mothshed/control_plane/confirmed_calls.py
@@ -48,12 +48,20 @@
 
 
 class ConfirmedCalls:
-    """Calls on a member's machine that count only while a majority confirms the member."""
+    """Calls on a member's machine that count only while a majority confirms the member.
 
-    def __init__(self, mailbox: typing.Any, member: typing.Any) -> None:
-        self.mailbox, self.member = mailbox, member
+    current_member: gives the member; another one once its disk had failed and it was opened again.
+    """
+
+    def __init__(self, mailbox: typing.Any, current_member: collections.abc.Callable[[], typing.Any]) -> None:
+        self.mailbox, self.current_member = mailbox, current_member
         self.proposed: dict[str, list[PendingCall]] = {}  # order id -> the calls that wait for its commit
 
+    @property
+    def member(self) -> typing.Any:
+        """The member as it is now."""
+        return self.current_member()
+
     def read(self, give: collections.abc.Callable[[], typing.Any]) -> typing.Any:
         """What give() returns once a majority has confirmed this leader; raises NotConfirmed."""
 
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -4,6 +4,7 @@
 
 import mothshed.configuration.lease as lease_module
 import mothshed.constants as constants
+import mothshed.control_plane.config_machine as config_machine
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
 import mothshed.control_plane.lease_bounds as lease_bounds
@@ -17,10 +18,13 @@
 import mothshed.replicas.listed as listed
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal_module
+import mothshed.runtime.ring as ring
 import mothshed.storage.disk as disk_module
 import mothshed.transport.gossip as gossip
 import mothshed.transport.remembered as remembered
 
+Duty = config_part.ConfigDuty | orders.OrderDuty
+
 
 def incarnation(disk, name, chance):
     """This member's id: its name and a mark that a wiped folder does not have."""
@@ -38,9 +42,7 @@
 class Keeper:
     def __init__(self, desk, settings, new_desk, disk, chance=secrets.token_hex, speech=None):
         self.desk, self.settings, self.disk = desk, settings, disk
-        self.ended = lambda: None  # told when this process should start anew
-        self.waiting = False
-        self.restarting = False  # this process ends only to start anew, with its disk and its votes
+        self.waiting = False  # whether a failed disk is being tried
         self.journal = journal_module.Journal(desk.now)
         self.totals = self.journal.view(journal_module.Totals())
         self.who = incarnation(disk, settings["name"], chance)
@@ -59,88 +61,97 @@
             remembered.Remembered(desk, disk),
         )
         self.lease = lease_module.Lease(desk, self.lease_goals)
-        self.members, self.duties = [], []
+        self.new_desk, self.speech = new_desk, speech
+        opened = [self.open_part(part) for part in range(constants.PARTS)]
+        self.members = [member for member, _ in opened]
+        self.duties = [duty for _, duty in opened]
+
+    def open_part(self, part: int) -> tuple[member_module.Member, Duty]:
+        """This keeper's member of a part as its disk holds it, and what the member does when it leads."""
+        settings = self.settings
         bounds = reconfiguration.Bounds(
             settings.get("losses", constants.LOSSES), settings.get("catch_up_s", constants.CATCH_UP)
         )
-        for part in range(constants.PARTS):
-            machine = service_part.ServiceMachine() if part else config_part.ConfigMachine()
-            seat = member_module.Member(
-                new_desk(),
-                disk,
-                part,
-                self.who,
-                settings["http"],
-                settings["first_keepers"],
-                machine,
-                self.gossip.keepers,
-                bounds,
-            )
-            duty = (
-                orders.OrderDuty(seat, self.replicas, self.lease, self.journal, speech, settings.get("tenure_s"))
-                if part
-                else config_part.ConfigDuty(
-                    seat, lease_bounds.LeaseBounds(settings.get("in_force_s", constants.IN_FORCE))
-                )
-            )
-            seat.failed = self.disk_failed
-            if speech and part == constants.LIST_PART:
-                list_duty.ListDuty(seat, self.replicas)
-            self.members.append(seat)
-            self.duties.append(duty)
+        member = member_module.Member(
+            self.new_desk(),
+            self.disk,
+            part,
+            self.who,
+            settings["http"],
+            settings["first_keepers"],
+            service_part.ServiceMachine() if part else config_machine.ConfigMachine(),
+            self.gossip.keepers,
+            bounds,
+        )
+        member.failed = self.disk_failed
+        if not part:
+            in_force = settings.get("in_force_s", constants.IN_FORCE)
+            return member, config_part.ConfigDuty(member, lease_bounds.LeaseBounds(in_force))
+        tenure = settings.get("tenure_s")
+        duty = orders.OrderDuty(member, self.replicas, self.lease, self.journal, self.speech, tenure)
+        if self.speech and part == constants.LIST_PART:
+            list_duty.ListDuty(member, self.replicas)
+        return member, duty
 
     def disk_failed(self):
-        """A member stopped for good: once the disk takes writes again, the process starts anew and rejoins."""
+        """A member stopped, not knowing what its disk holds: it is opened again once the disk takes writes."""
         if not self.waiting:
             self.waiting = True
             self.desk.spawn(self.wait_for_disk)
 
     def wait_for_disk(self):
-        while True:
+        """Tries the disk until it takes writes and every part that it failed is open again."""
+        while any(member.disk_lost for member in self.members):
             self.desk.pause(constants.DISK_RETRY)
             try:
                 self.disk.put("probe", b".")
-            except disk_module.DiskFault:
-                continue
-            self.restarting = True
-            self.ended()
-            return
+                self.reopen_parts()
+            except disk_module.DiskDamaged as damage:  # waiting does not help: an operator wipes the folder
+                ring.trouble("disk_damaged", damage)
+                return
+            except disk_module.DiskFault as fault:
+                ring.note("disk_refuses", reason=str(fault))
+        self.waiting = False
+        if any(member.disk_lost for member in self.members):  # one failed while this thread was about to end
+            self.disk_failed()
+
+    def reopen_parts(self) -> None:
+        """Opens the parts that the disk failed, as a start of the process would; raises DiskFault."""
+        for part, former in enumerate(self.members):
+            if former.disk_lost:
+                member, duty = self.open_part(part)
+                former.desk.stop()
+                self.members[part], self.duties[part] = member, duty
+                ring.report("part_opened_again", part=part, term=member.log.term, last=member.log.last)
+                member.begin()
 
     def lease_goals(self):
         return [self.desk.address] + self.gossip.keepers()
 
     def run(self):
         self.replicas.run()
-        for seat in self.members:
-            seat.begin()
+        for member in self.members:
+            member.begin()
         counters.CountersReport(self.desk, self.totals, self.desk.figures).run()
 
     def front(self, make=keeper_front.KeeperFront):
         return front.Server(self.settings["http"], make(self), constants.HTTP_THREADS)
 
-    def in_part(self, seat, call):
+    def in_part(self, member, call):
         """Runs call() in a part's mailbox and waits for what it returns."""
         gate, box = self.desk.gate(), []
-        seat.desk.post(lambda: (box.append(call()), gate.set()))
+        member.desk.post(lambda: (box.append(call()), gate.set()))
         return box[0] if gate.wait(constants.COMMIT_WAIT) else None
 
     def drain(self):
-        """Hands every led part to a successor and leaves the groups; True if all were taken over.
-
-        A process that only starts anew leaves no group, and is back before anybody could take its place.
-        """
-        if self.restarting:
-            for seat in self.members:
-                seat.desk.post(seat.hand_over)
-            self.desk.pause(2 * constants.HEART_BEAT)
-            return True
-        for seat in self.members:
-            self.in_part(seat, seat.leave)
+        """Hands every led part to a successor and leaves the groups; True if all were taken over."""
+        for member in self.members:
+            self.in_part(member, member.leave)
         self.desk.pause(2 * constants.HEART_BEAT)
         until = self.desk.now() + self.settings.get("drain_s", constants.LEAVE_WAIT)
-        while self.desk.now() < until and not all(seat.released for seat in self.members):
+        while self.desk.now() < until and not all(member.released for member in self.members):
             self.desk.pause(constants.HEART_BEAT)
-        return not any(seat.is_leader for seat in self.members)
+        return not any(member.is_leader for member in self.members)
 
     def condition(self):
         parts = [m.condition() for m in self.members]
--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -39,8 +39,12 @@
 class KeeperFront:
     def __init__(self, keeper):
         self.keeper = keeper
-        self.seat = keeper.members[0]
-        self.calls = confirmed_calls.ConfirmedCalls(keeper.desk, self.seat)
+        self.calls = confirmed_calls.ConfirmedCalls(keeper.desk, lambda: self.member)
+
+    @property
+    def member(self) -> typing.Any:
+        """The member of the configuration's part; another one after its disk failed."""
+        return self.keeper.members[0]
 
     def __call__(self, environ, start):
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
@@ -69,9 +73,9 @@
 
     def elsewhere(self, environ, start):
         """307 to a leader heard of lately, or 503 while there is none; None if this is the leader."""
-        if self.seat.is_leader:
+        if self.member.is_leader:
             return None
-        place = self.seat.members.get(leader_hint.recent_leader(self.seat))
+        place = self.member.members.get(leader_hint.recent_leader(self.member))
         if not place:
             return front.fault(start, 503, "the configuration part has no leader now", retry=constants.RETRY_AFTER)
         query = environ.get("QUERY_STRING")
@@ -89,7 +93,7 @@
 
     def show(self, environ, start):
         def give():
-            m = self.seat.machine
+            m = self.member.machine
             rows = {s: row["doc"] for s, row in m.docs.items()}
             return {
                 "active": m.active,
@@ -105,7 +109,7 @@
         asked = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("id", [])
 
         def give():
-            m = self.seat.machine
+            m = self.member.machine
             return {
                 "active": m.active,
                 "latest": m.latest,
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -32,6 +32,7 @@
         self.machine = machine  # apply(index, command), dump(), restore(state)
         self.bounds = bounds or reconfiguration.Bounds()
         self.failed = lambda: None  # told once the disk has failed
+        self.disk_lost = False  # whether this member stopped for that
         self.duties = []  # start() when leader, stop() when not
         self.log = disk_log.PartLog(disk, part)
         self.chart = charts.load("member")
@@ -88,6 +89,7 @@
         """What is on the disk is not known any more: this member takes no further part."""
         ring.trouble("disk_fault", e, part=self.part)
         self.stop()
+        self.disk_lost = True
         self.failed()
 
     @property
--- a/mothshed/control_plane/taken_orders.py
+++ b/mothshed/control_plane/taken_orders.py
@@ -18,13 +18,14 @@
 import base64
 import hashlib
 import struct
+import typing
 
 import mothshed.constants as constants
 
 ENTRY = struct.Struct(f"!{constants.DIGEST_BYTES}sq")
 
 
-def digest_of(order_id):
+def digest_of(order_id: str) -> bytes:
     """A digest of fixed length, whatever an operator's ids look like."""
     return hashlib.blake2b(order_id.encode("utf-8", "surrogatepass"), digest_size=constants.DIGEST_BYTES).digest()
 
@@ -32,29 +33,32 @@
 class TakenOrders:
     """Order id -> sequence for the newest orders, and a floor below which nothing is known."""
 
-    def __init__(self, most=constants.TAKEN_MOST):
+    def __init__(self, most: int = constants.TAKEN_MOST) -> None:
         self.most = most
-        self.sequences = {}  # digest -> sequence, oldest first
+        self.sequences: dict[bytes, int] = {}  # digest -> sequence, oldest first
         self.floor = 0
 
-    def add(self, order_id, sequence):
+    def add(self, order_id: str, sequence: int) -> None:
+        """Note that an order was given this sequence; the oldest note goes once there are too many."""
         self.sequences[digest_of(order_id)] = sequence
         while len(self.sequences) > self.most:
             oldest = next(iter(self.sequences))
             self.floor = self.sequences.pop(oldest)
 
-    def sequence_of(self, order_id):
+    def sequence_of(self, order_id: str) -> int | None:
         """The sequence an order was given, or None if the record does not hold it."""
         return self.sequences.get(digest_of(order_id))
 
-    def may_have_dropped(self, base):
+    def may_have_dropped(self, base: int) -> bool:
         """Whether an order on this base that the record does not hold may have been taken once."""
         return base < self.floor
 
-    def dump(self):
+    def dump(self) -> dict[str, typing.Any]:
+        """The record as a snapshot keeps it."""
         packed = b"".join(ENTRY.pack(digest, sequence) for digest, sequence in self.sequences.items())
         return {"floor": self.floor, "orders": base64.b64encode(packed).decode()}
 
-    def restore(self, state):
+    def restore(self, state: dict[str, typing.Any]) -> None:
+        """Take a snapshot's record."""
         self.floor = state["floor"]
         self.sequences = dict(ENTRY.iter_unpack(base64.b64decode(state["orders"])))
--- a/mothshed/http/headers.py
+++ b/mothshed/http/headers.py
@@ -99,7 +99,7 @@
             self.socket.shutdown(socket.SHUT_WR)
             while (left := until - clock.now()) > 0:
                 self.socket.settimeout(left)
-                if not self.socket.recv(constants.EOF_BYTES):
+                if not self.socket.recv(constants.READ_BYTES):
                     return
         except OSError:
             pass
--- a/mothshed/http/reply.py
+++ b/mothshed/http/reply.py
@@ -84,7 +84,7 @@
                 yield from self.chunks()
             else:
                 while True:
-                    piece = self.raw.read1(constants.EOF_BYTES, decode_content=False)
+                    piece = self.raw.read1(constants.READ_BYTES, decode_content=False)
                     if not piece:
                         break
                     yield piece
@@ -99,7 +99,7 @@
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """The pieces of a chunked body; the library's own reader takes what is no chunk for one."""
         body = chunked.ChunkedBody(self.raw._fp.fp)
-        while piece := body.read1(constants.EOF_BYTES):
+        while piece := body.read1(constants.READ_BYTES):
             yield piece
         self.raw._fp.close()
 
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -30,7 +30,6 @@
     make = serving.desks(settings)
     keeper = keeper_module.Keeper(make(), settings, make, serving.open_disk(settings["data"]))
     ring.hold(keeper.journal)
-    keeper.ended = serving.start_anew
     keeper.run()
     serving.serve(keeper.front(), keeper.drain)
 
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import os
 import signal
 import sys
 import threading
@@ -65,11 +64,6 @@
             sleep(constants.DISK_RETRY)
 
 
-def start_anew():
-    """Ends this process politely; whoever keeps it running starts it again."""
-    os.kill(os.getpid(), signal.SIGTERM)
-
-
 def serve(server, stop, reread=lambda: None):
     """Serves until SIGTERM or SIGINT, then stop(); a second signal ends at once. SIGHUP: reread()."""
     asked = threading.Event()
--- a/mothshed/transport/link.py
+++ b/mothshed/transport/link.py
@@ -149,7 +149,7 @@
         The end of the other side's direction shows in `state` afterwards.
         """
         try:
-            data = self.sock.recv(constants.PEER_READ_BYTES)
+            data = self.sock.recv(constants.READ_BYTES)
         except BlockingIOError:
             return
         except OSError as error:
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -6,7 +6,7 @@
 import tracemalloc
 
 import mothshed.constants as constants
-import mothshed.control_plane.config_part as config_part
+import mothshed.control_plane.config_machine as config_machine
 import mothshed.control_plane.usage_duty as usage_duty
 import mothshed.data_plane.route_front as route_front
 import mothshed.replicas.replica_load as replica_load
@@ -105,7 +105,7 @@
     row = {"doc": doc, "by": "operator", "id": "0" * 32}
     news = dict(part=0, number=1, active=1, docs=[[2, doc]])
     data = records.pack("news", **news)
-    machine = config_part.ConfigMachine()
+    machine = config_machine.ConfigMachine()
     for at in range(2 * constants.HISTORY):
         machine.apply(0, {"op": "stage", "base": at, **row, "id": f"order {at}"})
         machine.apply(0, {"op": "activate", "sequence": at + 1})
--- a/tools/proof_table.py
+++ b/tools/proof_table.py
@@ -42,6 +42,7 @@
     "links slow": ["slow_links"],
     "held memory lapses": ["memory_lapses"],
     "configurations storm, race": ["configuration_storm", "configuration_race"],
+    "two releases side by side": ["upgraded_and_back"],
     "planned stops": ["polite_stops", "calm", "list_down"],
     "closing fault": [
         "closing_" + end
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -40,6 +40,9 @@
         if goal:
             self.net.tell(self.machine, self.address, goal, kind, body)
 
+    def stop(self):
+        pass
+
     def figures(self):
         return {}
 
--- a/tools/taken_out.py
+++ b/tools/taken_out.py
@@ -2,6 +2,7 @@
 
 import mothshed.configuration.lease as lease
 import mothshed.constants as constants
+import mothshed.control_plane.config_machine as config_machine
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper as keeper
 import mothshed.control_plane.orders as orders
@@ -78,7 +79,7 @@
         "writes kept",
     ),
     "compare-and-set on the sequence": (
-        weakened.put(config_part.ConfigMachine, stage=weakened.stage_anyway),
+        weakened.put(config_machine.ConfigMachine, stage=weakened.stage_anyway),
         "configuration_race",
         "writes kept",
     ),
