--- a/tools/elections.py
+++ b/tools/elections.py
@@ -3,7 +3,9 @@
 python -m tools.elections --seeds 1-200 --jobs 8
 
 Prints the spread of the time until a new leader of part 0 is ready, of the time
-until every router has a lease again, and of the longest time any router had none.
+until every router has a lease again, and of the longest time any router had none; and,
+after a loss of power of all, of the times from the last keeper's start to a leader and
+to a lease at every router.
 """
 
 import tools.simulate as simulate
@@ -11,6 +13,7 @@
 
 STEP = 0.01  # s; how finely the simulator is looked at
 MOST = 12.0  # s; given up after
+BACK_LEAST, BACK_SPREAD = 0.6, 0.6  # s; how long a machine is away that lost power
 
 
 def led(f, part=0):
@@ -52,8 +55,25 @@
     return birth, again, again + rest, bare + more
 
 
+def power_lost(seed):
+    """(leader again, leases again) in seconds after the last keeper's start, all having lost power at once."""
+    f = fleet.SimFleet(f"power.{seed}", "patinetes", routers=10, replicas=2)
+    f.ready()
+    f.run(2 + f.random.random())
+    names = f.names("keep") + f.names("route")
+    starts = {name: BACK_LEAST + BACK_SPREAD * f.random.random() for name in names}
+    last = max(starts[name] for name in f.names("keep"))
+    for name in names:
+        f.kill(name)
+        f.later(starts[name], lambda name=name: f.start(name))
+    f.run(last)
+    again = until(f, lambda: led(f))[0]
+    rest = until(f, lambda: all(f.machines[n].alive and f.parts[n].lease.sequence() for n in f.names("route")))[0]
+    return again, again + rest
+
+
 def call(job):
-    return one(job[1])
+    return one(job[1]) + power_lost(job[1])
 
 
 def quantile(times, share):
@@ -65,7 +85,14 @@
     seeds, count = simulate.seeds_and_jobs("times without a leader, simulated", "1-40")
     rows = list(simulate.many([("", s, "", "") for s in seeds], count, call))
     for at, name in enumerate(
-        ("birth of all parts", "leader ready after a kill", "every router leased by it", "longest without a lease")
+        (
+            "birth of all parts",
+            "leader ready after a kill",
+            "every router leased by it",
+            "longest without a lease",
+            "power lost: leader ready",
+            "power lost: all leased",
+        )
     ):
         times = sorted((row[at], seed) for row, seed in zip(rows, seeds, strict=False))
         print(
