--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -33,8 +33,9 @@
                     out,
                     ended.answered,
                     ended.failed,
-                    list(self.placing.reading[name]),
+                    list(self.placing.readings.tokens[name]),
                     *self.placing.event_times.of(name),
+                    self.placing.readings.awaiting[name],
                 )
                 if own.any():
                     part[name] = own
