The load that routers report is kept as running sums: a report costs no more with more routers

Cause: for each report the leader of a service part added up all reports anew, so its processor time grew with the square of the routers.

load_sums.py keeps totals as reports come and go; a router is told the totals less its own. Property test: the sums equal adding up anew, through any sequence of reports, ages and spans left alone. tools/hollow/parts names the leader as the product does now (it had failed since a renaming).

--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -5,7 +5,10 @@
 of a pool goes by where replicas' own reports are not read.
 """
 
+import dataclasses
+
 import mothshed.constants as constants
+import mothshed.control_plane.load_sums as load_sums
 import mothshed.control_plane.writer_capacity as writer_capacity
 import mothshed.replicas.replica_load as replica_load
 
@@ -15,7 +18,7 @@
         self.member, self.desk = member, member.desk
         self.service_of = service_of  # replica -> its service
         self.capacities = {}  # service -> WriterCapacity
-        self.reports = {}  # router -> (when, Loads)
+        self.reports = load_sums.LoadSums(self.desk.now)
         self.smooth = {}  # replica -> [requests that it works on, tokens being read]
         self.smoothed_at = None
         self.shifting = {}  # replica -> until when an order keeps it away
@@ -33,26 +36,17 @@
                 leader=member.place_of(member.leader) if fresh else "",
             )
             return
-        self.reports[sender] = (self.desk.now(), replica_load.from_wire(body["rows"]))
-        others = {name: load.without_events() for name, load in self.sums(sender).items()}
-        sums = replica_load.to_wire(others)
+        self.reports.take(sender, replica_load.from_wire(body["rows"]))
+        sums = {name: load.placing_wire() for name, load in self.sums(sender).items()}
         self.desk.tell(sender, "usages", part=member.part, mark=body["mark"], rows=sums)
 
     def sums(self, but=""):
-        """replica -> ReplicaLoad over all routers but one."""
-        now, total = self.desk.now(), {}
-        self.reports = {a: r for a, r in self.reports.items() if now - r[0] < constants.USAGE_LIFE}
-        for sender, (at, rows) in self.reports.items():
-            if sender == but:
-                continue
-            for name, load in rows.items():
-                total.setdefault(name, replica_load.ReplicaLoad()).add(load, now - at)
-        for name, until in list(self.shifting.items()):
-            if until <= now:
-                del self.shifting[name]
-            else:
-                kept_away = replica_load.ReplicaLoad(out_s=until - now)
-                total.setdefault(name, replica_load.ReplicaLoad()).add(kept_away)
+        """replica -> ReplicaLoad over all routers but one, and what orders keep away; not to be changed."""
+        now, total = self.desk.now(), self.reports.without(but)
+        self.shifting = {name: until for name, until in self.shifting.items() if until > now}
+        for name, until in self.shifting.items():
+            load = total.get(name) or replica_load.ReplicaLoad()
+            total[name] = dataclasses.replace(load, out_s=max(load.out_s, until - now))
         return total
 
     def usage(self, name, role, slots):
--- a/mothshed/replicas/replica_load.py
+++ b/mothshed/replicas/replica_load.py
@@ -72,9 +72,9 @@
         """Requests that the replica itself works on."""
         return self.requests - self.awaiting
 
-    def without_events(self) -> "ReplicaLoad":
-        """The same load without what only the leader of the replica's part goes by."""
-        return dataclasses.replace(self, events=0, events_s=0.0, awaiting=0.0)
+    def placing_wire(self) -> Wire:
+        """The row as routers are told it: without what only the leader of the replica's part goes by."""
+        return [self.requests, round(self.out_s, 2), *self.reading, round(self.answered, 2), round(self.failed, 2)]
 
     def any(self) -> bool:
         """Whether there is anything to tell."""
--- /dev/null
+++ b/tests/test_load_sums.py
@@ -0,0 +1,80 @@
+"""The sums of what routers report: what adding them all up anew would give, at a cost that others do not raise."""
+
+import hypothesis
+import hypothesis.strategies as strategies
+import pytest
+
+import mothshed.constants as constants
+import mothshed.control_plane.load_sums as load_sums
+import mothshed.replicas.replica_load as replica_load
+
+STEADY = hypothesis.settings(derandomize=True, max_examples=200, deadline=None, database=None)
+LOAD = strategies.builds(
+    replica_load.ReplicaLoad,
+    requests=strategies.integers(0, 9),
+    out_s=strategies.sampled_from([0.0, 0.0, 0.5, 2.0]),
+    answered=strategies.integers(0, 9).map(lambda n: n / 4),
+    failed=strategies.integers(0, 9).map(lambda n: n / 4),
+    reading=strategies.lists(strategies.integers(0, 9), min_size=constants.RANKS, max_size=constants.RANKS),
+    events=strategies.integers(0, 9),
+    events_s=strategies.integers(0, 9).map(lambda n: n / 8),
+    awaiting=strategies.integers(0, 5),
+)
+ROUTERS, REPLICAS = ("r:1", "r:2", "r:3", "r:4"), ("a", "b", "c")
+STEP = strategies.tuples(
+    strategies.sampled_from([0.0, 0.25, 1.0]),  # s that pass before
+    strategies.sampled_from(ROUTERS),
+    strategies.dictionaries(strategies.sampled_from(REPLICAS), LOAD),
+)
+
+
+def added_up(reports, now, but):
+    """The sums as adding up every report anew gives them."""
+    total = {}
+    for sender, (at, loads) in reports.items():
+        if sender != but and now - at < constants.USAGE_LIFE:
+            for name, load in loads.items():
+                total.setdefault(name, replica_load.ReplicaLoad()).add(load, now - at)
+    return total
+
+
+def numbers(loads):
+    """What of the sums counts: rows in which there is anything."""
+    return {name: pytest.approx(load.to_wire()) for name, load in loads.items() if load.any()}
+
+
+@STEADY
+@hypothesis.given(strategies.lists(STEP, max_size=20))
+def test_the_sums_are_those_of_adding_up_anew(steps):
+    clock, reports = [100.0], {}
+    sums = load_sums.LoadSums(lambda: clock[0])
+    for span, sender, loads in steps:
+        clock[0] += span
+        sums.take(sender, loads)
+        reports[sender] = (clock[0], loads)
+        for but in ("", *ROUTERS):
+            found = {name: load for name, load in sums.without(but).items() if load.any()}
+            expected = numbers(added_up(reports, clock[0], but))
+            assert {name: load.to_wire() for name, load in found.items()} == expected
+
+
+def test_nothing_is_left_of_routers_that_fell_silent():
+    clock = [100.0]
+    sums = load_sums.LoadSums(lambda: clock[0])
+    sums.take("r:1", {"a": replica_load.ReplicaLoad(3, 0.5, answered=0.1)})
+    clock[0] += constants.USAGE_LIFE
+    assert sums.without() == {}
+    assert not (sums.reports or sums.totals or sums.out_until or +sums.reporters)
+
+
+@pytest.mark.parametrize("routers", [50, 400])
+def test_a_report_costs_the_same_however_many_routers_there_are(routers, monkeypatch):
+    sums, shifts = load_sums.LoadSums(lambda: 100.0), []
+    own = {name: replica_load.ReplicaLoad(1) for name in REPLICAS}
+    for number in range(routers):
+        sums.take(f"r:{number}", own)
+    real = load_sums.shift
+    monkeypatch.setattr(load_sums, "shift", lambda *rest: (shifts.append(1), real(*rest)))
+    sums.take("r:0", own)
+    assert sums.without("r:0")["a"].requests == routers - 1
+    assert len(shifts) == 3 * len(REPLICAS)  # the last report out, this one in, and off the reply
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -58,7 +58,7 @@
 
 
 class LoneMember:
-    leads, part = True, 1
+    is_leader, part = True, 1
 
     def __init__(self):
         self.desk = LoneDesk()
@@ -84,7 +84,7 @@
         for at in range(routers)
     }
     for sender, body in bodies.items():
-        duty.reports[sender] = (1000.0, replica_load.from_wire(body["rows"]))
+        duty.reports.take(sender, replica_load.from_wire(body["rows"]))
     sender, body = next(iter(bodies.items()))
     cost = spent(lambda: duty.on_usage(sender, body))
     up = len(records.pack("usage", part=1, mark=1, rows=body["rows"]))
