A document is packed once for all leaseholders that lack the same ones

Now leaseholders are grouped by what they lack, and Peers.send_to_each packs once per release. Test: one packing, each is reached.

--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -75,14 +75,17 @@
         self.number += 1
         self.acks[self.number] = set()
         self.acks.pop(self.number - 100, None)
+        alike: dict[tuple[int, ...], list[str]] = {}  # documents to send -> leaseholders that lack just these
         for address, holder in self.holders.items():
-            self.desk.tell(
-                address,
+            alike.setdefault(holder.take_sequences(self.machine, self.desk.now()), []).append(address)
+        for sequences, addresses in alike.items():
+            self.desk.send_to_each(
+                addresses,
                 "news",
                 part=0,
                 number=self.number,
                 active=self.machine.active,
-                docs=holder.take_documents(self.machine, self.desk.now()),
+                docs=leaseholder.documents(self.machine, sequences),
             )
 
     def on_ask(self, sender, body):
@@ -117,7 +120,7 @@
             length=length,
             number=self.number,
             active=self.machine.active,
-            docs=holder.take_documents(self.machine, self.desk.now()),
+            docs=leaseholder.documents(self.machine, holder.take_sequences(self.machine, self.desk.now())),
             leader=self.member.who,
         )
 
--- a/mothshed/programs/environment.py
+++ b/mothshed/programs/environment.py
@@ -6,9 +6,11 @@
 the peers' held connections. The simulator has a Desk of the same shape.
 """
 
+import collections.abc
 import random
 import threading
 import time
+import typing
 
 import pykka
 
@@ -70,6 +72,10 @@
     def tell(self, goal, kind, **body):
         self.peers.send(goal, kind, **body)
 
+    def send_to_each(self, addresses: collections.abc.Iterable[str], kind: str, **body: typing.Any) -> None:
+        """The same record to several processes, packed once."""
+        self.peers.send_to_each(addresses, kind, **body)
+
     def hear(self, kind, call, part=None):
         """Calls call(sender, body) in this desk's mailbox for records of a kind."""
         self.peers.subscribe(kind, part, lambda who, body: self.post(lambda: call(who, body)))
--- a/mothshed/transport/peers.py
+++ b/mothshed/transport/peers.py
@@ -45,6 +45,18 @@
         else:
             self.loop.table.send(goal, records.CODEC.pack(kind, body, self.loop.table.release_of(goal)))
 
+    def send_to_each(self, goals: collections.abc.Iterable[str], kind: str, **body: typing.Any) -> None:
+        """Send the same record to several peers; it is packed once for all that speak the same release."""
+        packed: dict[int | None, bytes] = {}
+        for goal in goals:
+            if goal == self.address:
+                self.take(goal, kind, body)
+                continue
+            release = self.loop.table.release_of(goal)
+            if release not in packed:
+                packed[release] = records.CODEC.pack(kind, body, release)
+            self.loop.table.send(goal, packed[release])
+
     def take(self, sender: str, kind: str, body: Body) -> None:
         """Give a record to the part that takes its kind; one that fails is noted."""
         call = self.receivers.get((kind, body.get("part"))) or self.receivers.get((kind, None))
--- a/tests/all_orders.py
+++ b/tests/all_orders.py
@@ -51,6 +51,10 @@
             records.CODEC.check_fields(kind, body)  # what a record does not carry would be lost on the way
             self.pool.waiting.append((goal, self.address, kind, body))
 
+    def send_to_each(self, addresses, kind, **body):
+        for address in addresses:
+            self.tell(address, kind, **body)
+
     def hear(self, kind, call, part=None):
         self.pool.ears.setdefault(self.address, {})[(kind, part)] = call
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -122,3 +122,19 @@
         conn.sendall(records.pack("hello", address="127.0.0.1:1") + spoils + peer_nodes.packed(1))
         node.wait_for(1)
     assert node.count("record_fault") == 0
+
+
+def test_a_record_for_several_is_packed_once_and_reaches_each(make_node, monkeypatch):
+    one, others = make_node(), [make_node() for _ in range(3)]
+    packed, real = [], records.Codec.pack
+
+    def pack(codec, name, body, release=None):
+        packed.append(name)
+        return real(codec, name, body, release)
+
+    monkeypatch.setattr(records.Codec, "pack", pack)
+    one.peers.send_to_each([node.address for node in (one, *others)], "ask", part=0, mark=5, held=0, staged=0)
+    for node in (one, *others):
+        node.wait_for(1)
+        assert node.taken == [(one.address, 5)]
+    assert packed.count("ask") == 1
--- a/tools/simulator/desk.py
+++ b/tools/simulator/desk.py
@@ -49,6 +49,10 @@
     def releases(self):
         return {}
 
+    def send_to_each(self, addresses, kind, **body):
+        for address in addresses:
+            self.tell(address, kind, **body)
+
     def hear(self, kind, call, part=None):
         self.net.ears.setdefault(self.address, {})[(kind, part)] = call
 
