test_front_threads: waits for each step of threads to end before it looks again

Traced: the test called fit_threads faster than threads end, so a second shrink found the first one's under way and ended only a part of a step; 33 to 36 idle threads are then left, which is what fit_threads keeps by design. The product looks again after FRONT_REST, when they have ended. The test now waits for each step, and checks the count after every one.

--- a/tests/test_front_threads.py
+++ b/tests/test_front_threads.py
@@ -33,20 +33,29 @@
         server.stop()
 
 
-def test_threads_that_rest_end_down_to_the_fewest():
+def wait_until_alive(threads, count):
+    """Wait until so many of these threads are left."""
+    until = time.monotonic() + 20
+    while sum(thread.is_alive() for thread in threads) > count and time.monotonic() < until:
+        threads[0].join(0.01)
+    assert sum(thread.is_alive() for thread in threads) == count
+
+
+def test_threads_that_rest_end_a_step_at_a_time_until_few_are_idle(monkeypatch):
+    monkeypatch.setattr(front.Server, "watch", lambda server: None)  # the test looks in its place
     server = front.Server("127.0.0.1:0", lambda environ, start: front.respond(start, 200, b"ok"), MOST)
     server.prepare()
     try:
         server.requests.grow(MOST - constants.FRONT_STEP)
-        began, threads = server.many_idle_since, list(server.requests._threads)
-        server.fit_threads(began + constants.FRONT_REST / 2)
-        assert all(thread.is_alive() for thread in threads)  # a short rest ends none
-        until, now = time.monotonic() + 20, began
-        while sum(thread.is_alive() for thread in threads) > constants.FRONT_STEP and time.monotonic() < until:
+        now, threads = server.many_idle_since, list(server.requests._threads)
+        server.fit_threads(now + constants.FRONT_REST / 2)
+        wait_until_alive(threads, MOST)  # a short rest ends none
+        for left in (MOST - constants.FRONT_STEP, MOST - 2 * constants.FRONT_STEP):
             now += constants.FRONT_REST + 0.1
             server.fit_threads(now)
-            threads[0].join(0.01)
-        server.requests.shrink(0)  # takes the ended ones off the library's list
-        assert len(server.requests._threads) == constants.FRONT_STEP
+            wait_until_alive(threads, left)
+            server.requests.shrink(0)  # takes the ended ones off the library's list
+        server.fit_threads(now + 10 * constants.FRONT_REST)
+        assert len(server.requests._threads) == MOST - 2 * constants.FRONT_STEP == constants.FRONT_STEP
     finally:
         server.stop()
