--- a/tests/peer_nodes.py
+++ b/tests/peer_nodes.py
@@ -1,13 +1,16 @@
 """Nodes that say records to each other on real sockets, by a clock that tests move on."""
 
 import contextlib
+import socket
 import threading
 import time
 
+import mothshed.transport.link as link
 import mothshed.transport.peers as peers
 import mothshed.transport.records as records
 import tools.fleet as fleet
 
+RAW_PEER = "127.0.0.1:1"  # what a connection made by hand calls itself
 WAIT = 20.0  # s; longest wait for what must come
 
 
@@ -73,6 +76,15 @@
             node.peers.stop()
 
 
+@contextlib.contextmanager
+def raw_peer(node):
+    """A connection to a node that has said hello as RAW_PEER, and one record that arrived."""
+    with socket.create_connection(link.split(node.address), WAIT) as conn:
+        conn.sendall(records.pack("hello", address=RAW_PEER) + packed(1))
+        node.wait_for(1)
+        yield conn
+
+
 def until(condition):
     """Wait for something that another thread brings about."""
     end, gate = time.monotonic() + WAIT, threading.Event()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -45,10 +45,7 @@
 
 def test_what_is_sent_while_the_other_side_closes_still_arrives(make_node):
     node = make_node()
-    with socket.create_connection(link_module.split(node.address), 5) as conn:
-        conn.settimeout(peer_nodes.WAIT)
-        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
-        node.wait_for(1)
+    with peer_nodes.raw_peer(node) as conn:
         node.clock.seconds += constants.PEER_IDLE + 0.1
         assert conn.recv(1) == b""  # it has shut its direction
         conn.sendall(peer_nodes.packed(2))
@@ -61,14 +58,11 @@
 
 def test_what_is_queued_when_the_other_side_closes_still_goes_out(make_node):
     node = make_node()
-    with socket.create_connection(link_module.split(node.address), 5) as conn:
-        conn.settimeout(peer_nodes.WAIT)
-        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
-        node.wait_for(1)
+    with peer_nodes.raw_peer(node) as conn:
         text = "x" * 4_000_000  # more than both sockets hold
-        node.peers.send("127.0.0.1:1", "paid", request=text, replica="i")
+        node.peers.send(peer_nodes.RAW_PEER, "paid", request=text, replica="i")
         conn.shutdown(socket.SHUT_WR)
-        peer_nodes.until(lambda: "127.0.0.1:1" not in node.loop.table.by_peer)
+        peer_nodes.until(lambda: peer_nodes.RAW_PEER not in node.loop.table.by_peer)
         expected = records.pack("paid", request=text, replica="i")
         with conn.makefile("rb") as stream:
             assert stream.read() == expected
@@ -94,9 +88,7 @@
 
 def test_a_side_that_never_ends_is_given_up(make_node):
     node = make_node()
-    with socket.create_connection(link_module.split(node.address), 5) as conn:
-        conn.sendall(records.pack("hello", address="127.0.0.1:1") + peer_nodes.packed(1))
-        node.wait_for(1)
+    with peer_nodes.raw_peer(node):
         node.clock.seconds += constants.PEER_IDLE + 0.1
         peer_nodes.until(lambda: not node.loop.table.by_peer)
         node.clock.seconds += constants.PEER_SILENT + 0.1
