--- a/mothshed/control_plane/usage_duty.py
+++ b/mothshed/control_plane/usage_duty.py
@@ -19,7 +19,7 @@
         self.service_of = service_of  # replica -> its service
         self.capacities = {}  # service -> WriterCapacity
         self.reports = load_sums.LoadSums(self.desk.now)
-        self.smooth = {}  # replica -> [requests that it works on, tokens being read]
+        self.smooth = {}  # replica -> [requests, tokens being read]
         self.smoothed_at = None
         self.shifting = {}  # replica -> until when an order keeps it away
         self.desk.hear("usage", self.on_usage, member.part)
@@ -55,7 +55,7 @@
         if self.smoothed_at is None or now - self.smoothed_at > constants.USAGE_BEAT:
             keep = 0.0 if self.smoothed_at is None else 0.5 ** ((now - self.smoothed_at) / constants.USAGE_HALF)
             loads = self.sums()
-            sums = {name: (load.running, sum(load.reading)) for name, load in loads.items()}
+            sums = {name: (load.requests, sum(load.reading)) for name, load in loads.items()}
             self.smooth = {
                 n: [keep * self.smooth.get(n, [0, 0])[k] + (1 - keep) * sums.get(n, [0, 0])[k] for k in (0, 1)]
                 for n in {*self.smooth, *sums}
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -8,6 +8,7 @@
 router has running there. No reader: the writer reads for itself.
 """
 
+import collections
 import collections.abc
 import threading
 import typing
@@ -16,7 +17,6 @@
 import mothshed.data_plane.outcomes as outcomes
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.prompt_parts as prompt_parts
-import mothshed.data_plane.readings as readings
 import mothshed.replicas.pools as pools
 import mothshed.replicas.replica_load as replica_load
 import mothshed.runtime.fading as fading
@@ -33,7 +33,8 @@
         self.desk, self.replicas, self.zone = desk, replicas, zone
         self.lock = threading.RLock()
         self.parts = prompt_parts.Parts()
-        self.readings = readings.Readings()
+        # name -> tokens this router has it read, by rank
+        self.reading: dict[str, list[float]] = collections.defaultdict(lambda: [0] * constants.RANKS)
         # part -> (when reported, what all other routers have at its replicas)
         self.others: dict[int, tuple[float, replica_load.Loads]] = {}
         self.outcomes = outcomes.Outcomes(desk.now)
@@ -65,7 +66,7 @@
     def queued(self, name: str) -> list[float]:
         """Tokens being read at a replica over all routers, by rank."""
         others = [load.reading for load in self.reported(name)]
-        return [sum(tokens) for tokens in zip(self.readings.tokens[name], *others, strict=True)]
+        return [sum(tokens) for tokens in zip(self.reading[name], *others, strict=True)]
 
     def pace(self, name: str) -> float:
         """Tokens a second that a replica reads."""
@@ -219,7 +220,6 @@
             name = self.writer(writers, pair.reader.cell if pair.reader else self.zone)
             self.replicas.end(pair.writer.name)
             self.replicas.begin(name)
-            self.readings.change_writer(pair, name)
             pair.writer = self.replicas.place(name)
 
     def take(
@@ -232,17 +232,18 @@
         name = reader or writer
         queued, pace = self.being_read(name), self.pace(name) * (1.0 if reader else constants.WRITER_PACE)
         rank = self.rank(ask, unread / pace)
+        self.reading[name][rank] += unread
         place = self.replicas.place
-        pair = pair_module.Pair(
+        return pair_module.Pair(
             sequence, pool, place(reader) if reader else None, place(writer), unread, expected, queued, rank
         )
-        self.readings.begin(pair)
-        return pair
 
     def read(self, pair: pair_module.Pair) -> None:
         """The prompt of a pair is read, or its reading has ended some other way."""
         with self.lock:
-            self.readings.end(pair)
+            name = (pair.reader or pair.writer).name
+            self.reading[name][pair.rank] = max(0, self.reading[name][pair.rank] - pair.unread)
+            pair.unread = 0
             if pair.reader and not pair.done:
-                self.replicas.end(pair.reader.name)
+                self.replicas.end(name)
                 pair.done = True
--- a/mothshed/data_plane/usage_share.py
+++ b/mothshed/data_plane/usage_share.py
@@ -33,9 +33,8 @@
                     out,
                     ended.answered,
                     ended.failed,
-                    list(self.placing.readings.tokens[name]),
+                    list(self.placing.reading[name]),
                     *self.placing.event_times.of(name),
-                    self.placing.readings.awaiting[name],
                 )
                 if own.any():
                     part[name] = own
--- a/mothshed/replicas/replica_load.py
+++ b/mothshed/replicas/replica_load.py
@@ -17,7 +17,6 @@
 import mothshed.constants as constants
 
 Wire = list[float]
-ALWAYS_SENT = len(("answered", "failed"))  # numbers after the reading that every row has
 
 
 def no_reading() -> list[float]:
@@ -29,22 +28,18 @@
 class ReplicaLoad:
     """Sums over one or several routers; a reading that lies back counts less (answered, failed, events)."""
 
-    requests: float = 0  # requests that have a place there
+    requests: float = 0  # requests running there
     out_s: float = 0.0  # s for which it is not to be placed upon
     answered: float = 0.0  # requests it lately answered
     failed: float = 0.0  # requests it lately failed by its own word
     reading: list[float] = dataclasses.field(default_factory=no_reading)  # prompt tokens being read, by rank
     events: float = 0  # events of its streams that followed another one lately
     events_s: float = 0.0  # s that they came after those
-    awaiting: float = 0.0  # of the requests, those whose prompt another replica is still reading
 
     def to_wire(self) -> Wire:
-        """The row as it is sent; what is zero at its end is left out."""
-        numbers = (self.answered, self.failed, self.events, self.events_s, self.awaiting)
-        lately = [round(number, 2) for number in numbers]
-        while len(lately) > ALWAYS_SENT and not lately[-1]:
-            lately.pop()
-        return [self.requests, round(self.out_s, 2), *self.reading, *lately]
+        """The row as it is sent; without the events where there are none."""
+        lately = [round(number, 2) for number in (self.answered, self.failed, self.events, self.events_s)]
+        return [self.requests, round(self.out_s, 2), *self.reading, *(lately if any(lately[2:]) else lately[:2])]
 
     @classmethod
     def from_wire(cls, row: Wire) -> "ReplicaLoad":
@@ -53,8 +48,8 @@
         reading, lately = rest[: constants.RANKS], rest[constants.RANKS :]
         if len(reading) < constants.RANKS:
             raise ValueError(f"a load of {len(row)} numbers")
-        answered, failed, events, events_s, awaiting = (*lately, 0.0, 0.0, 0.0, 0.0, 0.0)[:5]
-        return cls(requests, out_s, answered, failed, reading, events, events_s, awaiting)
+        answered, failed, events, events_s = (*lately, 0.0, 0.0, 0.0, 0.0)[:4]
+        return cls(requests, out_s, answered, failed, reading, events, events_s)
 
     def add(self, other: "ReplicaLoad", age: float = 0.0) -> None:
         """Count another router's row in; age: s since it was sent."""
@@ -64,14 +59,8 @@
         self.failed += other.failed
         self.events += other.events
         self.events_s += other.events_s
-        self.awaiting += other.awaiting
         self.reading = [own + more for own, more in zip(self.reading, other.reading, strict=True)]
 
-    @property
-    def running(self) -> float:
-        """Requests that the replica itself works on."""
-        return self.requests - self.awaiting
-
     def placing_wire(self) -> Wire:
         """The row as routers are told it: without what only the leader of the replica's part goes by."""
         return [self.requests, round(self.out_s, 2), *self.reading, round(self.answered, 2), round(self.failed, 2)]
--- a/tools/hollow/fleet.py
+++ b/tools/hollow/fleet.py
@@ -87,11 +87,11 @@
     def draw(self, router):
         """Sets what this router has running, as many requests as the size says."""
         router.replicas.mine = design.running(self.size, self.chance, self.readers, self.writers)
-        for name in list(router.placing.readings.tokens):
-            router.placing.readings.tokens[name] = [0] * constants.RANKS
+        for name in list(router.placing.reading):
+            router.placing.reading[name] = [0] * constants.RANKS
         for name in self.readers:
             if name in router.replicas.mine:
-                router.placing.readings.tokens[name] = [4000 * router.replicas.mine[name], *[0] * (constants.RANKS - 1)]
+                router.placing.reading[name] = [4000 * router.replicas.mine[name], *[0] * (constants.RANKS - 1)]
         self.loop.at(DRAW_BEAT, None, lambda: self.draw(router))
 
     def routers(self):
