Red: keys reach replicas, unknown and revoked keys are served, shared keys are accepted

Seen by callers and operators on both shared deployments: UNASKED (the key is passed on to the replica), ROUTE (a request runs under a key that no configuration holds), CONFIG (a key that was taken away is still served; an invalid document is acknowledged). QUOTA is still to be reproduced.

--- a/tests/test_platform_configurations.py
+++ b/tests/test_platform_configurations.py
@@ -19,6 +19,10 @@
     return [route_with(), route_with(name="r-two", host="two.example") | change]
 
 
+def sender(name, *permits, **more):
+    return {"name": name, "permits": list(permits), **more}
+
+
 def without(word, at):
     found = platform_door.document(0)
     (found if at is None else found[at][0]).pop(word)
@@ -58,6 +62,18 @@
     "without a prefix": without("prefix", "itineraries"),
     "without a deadline": without("deadline_ms", "itineraries"),
     "without a depot": without("depot", "itineraries"),
+    "two senders that share a key": platform_door.document(
+        0, senders=[sender("a", "k1", "k2"), sender("b", "k3", "k2")]
+    ),
+    "two senders of one name": platform_door.document(0, senders=[sender("a", "k1"), sender("a", "k2")]),
+    "a sender without a name": platform_door.document(0, senders=[{"permits": ["k1"]}]),
+    "a sender without permits": platform_door.document(0, senders=[{"name": "a"}]),
+    "senders are no list": platform_door.document(0, senders={"a": ["k1"]}),
+    "permits are no list": platform_door.document(0, senders=[{"name": "a", "permits": "k1"}]),
+    "a permit is no text": platform_door.document(0, senders=[{"name": "a", "permits": [7]}]),
+    "a rate below 0": platform_door.document(0, senders=[sender("a", "k1", rate_per_s=-1)]),
+    "a rate as text": platform_door.document(0, senders=[sender("a", "k1", rate_per_s="5")]),
+    "a surge below 0": platform_door.document(0, senders=[sender("a", "k1", rate_per_s=1, surge=-1)]),
 }
 
 
@@ -100,6 +116,17 @@
         ],
     ),
     "three hundred routes": platform_door.document(0, *[route_with(host=f"h{n}", name=f"r{n}") for n in range(300)]),
+    "senders with keys, one with none, limits and without": platform_door.document(
+        0,
+        senders=[
+            sender("a", "k1", "k2", urgency=0, rate_per_s=2.5, surge=4),
+            sender("b", "k3", rate_per_s=0),
+            sender("c"),
+        ],
+    ),
+    "a key twice with one sender": platform_door.document(0, senders=[sender("a", "k1", "k1")]),
+    "no senders": platform_door.document(0, senders=[]),
+    "an unstamped route": platform_door.document(0, route_with(unstamped=True), senders=[sender("a", "k1")]),
     "fields from the future": platform_door.document(
         0, route_with(new=1), depots=[{**platform_site.depot("one"), "new": {}}], new=[]
     ),
--- /dev/null
+++ b/tests/test_tenant_keys.py
@@ -0,0 +1,71 @@
+"""Keys of tenants on the platform, over real sockets: who is served, and what a replica is shown."""
+
+import pytest
+
+import tests.platform_site as platform_site
+
+KEY, OTHER_KEY, UNKNOWN_KEY = "92cqf75rjvz48wuakn2f", "timaj3nr26tta828m82t", "never-in-any-configuration"
+TENANTS = [
+    {"name": "kaje80", "permits": [KEY], "urgency": 1},
+    {"name": "nono58", "permits": [OTHER_KEY], "urgency": 1},
+]
+
+
+@pytest.fixture
+def site():
+    found = platform_site.Site()
+    found.lease.change(senders=TENANTS)
+    yield found
+    found.stop()
+
+
+def bearer(key):
+    return [("Authorization", f"Bearer {key}")]
+
+
+def all_sends(replicas):
+    return [request for replica in replicas for request in replica.asked]
+
+
+def test_unasked_a_key_is_passed_on_to_no_replica(site):
+    host, replicas = site.service("pd")
+    _own, answer = site.ask(host, headers=bearer(KEY))
+    sends = all_sends(replicas)
+    assert answer.status == 200 and len(sends) == 2
+    assert [request for request in sends if KEY in repr(request)] == []
+    assert [request.all("Authorization") for request in sends] == [[], []]
+
+
+def test_unasked_the_sender_is_the_tenant_that_holds_the_key(site):
+    host, replicas = site.service("pd")
+    site.ask(host, headers=[*bearer(KEY), ("Sender", "nono58")])
+    assert [request.all("Sender") for request in all_sends(replicas)] == [["kaje80"], ["kaje80"]]
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        bearer(UNKNOWN_KEY),
+        [*bearer(KEY), *bearer(OTHER_KEY)],
+        [("Authorization", f"Basic {KEY}")],
+        [("Authorization", KEY)],
+        bearer(KEY[:-1]),
+        bearer(KEY.upper()),
+    ],
+    ids=["none", "unknown", "two", "another scheme", "no scheme", "cut short", "other letters"],
+)
+def test_route_a_request_without_a_known_key_runs_nowhere(site, headers):
+    host, replicas = site.service("pd")
+    _own, answer = site.ask(host, headers=headers)
+    assert answer.status == 401 and all_sends(replicas) == []
+
+
+def test_config_a_key_that_was_taken_away_is_refused(site):
+    host, replicas = site.service("pd")
+    assert site.ask(host, headers=bearer(KEY))[1].status == 200
+    site.lease.change(senders=[{**TENANTS[0], "permits": []}, TENANTS[1]])
+    served = len(all_sends(replicas))
+    assert site.ask(host, headers=bearer(KEY))[1].status == 401
+    assert len(all_sends(replicas)) == served
+    assert site.ask(host, headers=bearer(OTHER_KEY))[1].status == 200
