Tenants' keys and limits are part of a configuration; two tenants with one key are refused

Operators saw invalid documents acknowledged (CONFIG): `senders` was kept only in the text as it was sent, so nothing checked it. It is now translated (keys as digests, urgency, rate and burst, routes without a stamp) and checked whole: a key that two tenants hold, a name twice, a sender without name or keys, numbers below 0 or no numbers.

--- a/mothshed/configuration/document.py
+++ b/mothshed/configuration/document.py
@@ -5,7 +5,10 @@
 requests go to which pool under which policy). It may also name routes: requests of a
 host and a prefix that are delivered as they come, each with its kind (safe or unsafe to
 repeat, or a stream), cutoff, aim, tries and pools by share; `limits` bounds what user
-agents may send, and `as_sent` keeps the text an operator's own form came in. `check` returns every fault with
+agents may send, and `as_sent` keeps the text an operator's own form came in. Tenants may have API keys, of which
+only digests stand here, an urgency, and a limit on their requests: `rate_per_s` and a `burst` above it, over the
+whole fleet; no rate, or 0, is no limit. With `require_key` a request needs the key of a tenant, except on a route
+that is `anonymous`. `check` returns every fault with
 its path, so that an operator mends all of them at once.
 
 >>> faults({"model": 3})[0]
@@ -14,8 +17,12 @@
 []
 """
 
+import math
+
 import voluptuous
 
+import mothshed.configuration.tenant_keys as tenant_keys
+
 POLICIES = ("least_usage", "prefix_affinity")
 NAME = voluptuous.All(str, voluptuous.Length(min=1, max=100))
 WHOLE = voluptuous.All(int, voluptuous.Range(min=0, max=10000))
@@ -23,7 +30,23 @@
 LABELS = voluptuous.Any({}, {NAME: NAME})
 
 KIND = {"cutoff_s": SECONDS, voluptuous.Optional("first_token_s"): SECONDS}
-TENANT = {"share": voluptuous.All(int, voluptuous.Range(min=1, max=100))}
+
+
+def number(value: object) -> int | float:
+    """Accepts whole and other numbers, but neither truth values nor what is no number."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or math.isnan(value):
+        raise voluptuous.Invalid("expected a number")
+    return value
+
+
+RATE = voluptuous.All(number, voluptuous.Range(min=0, max=1000000000))
+TENANT = {
+    "share": voluptuous.All(int, voluptuous.Range(min=1, max=100)),
+    voluptuous.Optional("keys"): [tenant_keys.DIGEST],
+    voluptuous.Optional("urgency"): WHOLE,
+    voluptuous.Optional("rate_per_s"): RATE,
+    voluptuous.Optional("burst"): RATE,
+}
 POOL = {
     "selector": LABELS,
     voluptuous.Optional("least_prefill", default=1): WHOLE,
@@ -58,6 +81,7 @@
     voluptuous.Optional("tries", default=1): COUNT,
     voluptuous.Optional("urgency", default=5): WHOLE,
     voluptuous.Optional("resumable", default=False): bool,
+    voluptuous.Optional("anonymous"): bool,
 }
 ENGINE = {"memory_tokens": COUNT, "handle_life_s": SPAN, voluptuous.Optional("slots"): COUNT}
 LIMITS = {voluptuous.Optional(k): COUNT for k in ("head_bytes", "body_bytes")}
@@ -72,6 +96,7 @@
         "pairings": voluptuous.All([PAIRING], voluptuous.Length(min=1)),
         voluptuous.Optional("routes"): [ROUTE],
         voluptuous.Optional("limits"): LIMITS,
+        voluptuous.Optional("require_key"): bool,
         voluptuous.Optional("as_sent"): object,
         voluptuous.Optional("note"): str,
     },
@@ -105,7 +130,7 @@
             for name in row.get(word, []):
                 if name not in document[table]:
                     found.append(f"pairings.{at}.{word}: {table} has no {name!r}")
-    return found + route_faults(document)
+    return found + route_faults(document) + tenant_keys.shared_key_faults(document["tenants"])
 
 
 def route_faults(document):
--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -56,6 +56,7 @@
 RESEND_AFTER = 0.18  # s; a document on its way to a router is not sent again sooner: one short lease.
 TAKEN_MOST = 16384  # orders remembered as taken: six days of 2,600 changes, 0.5 MB of a snapshot.
 DIGEST_BYTES = 16  # bytes of an order's digest: no two of one record's orders are ever alike.
+KEY_DIGEST_BYTES = 16  # bytes of a key's digest: nobody finds another key with the same one.
 SEQUENCE_MOST = 9007199254740991  # highest sequence: 2**53 - 1, which every JSON reader holds exactly.
 
 # --- orders to replicas --------------------------------------------------
