--- a/mothshed/configuration/settings.py
+++ b/mothshed/configuration/settings.py
@@ -62,6 +62,13 @@
             voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=600)
         ),
         voluptuous.Optional("tenure_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
+        voluptuous.Optional("limit_window_s"): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0.1, max=3600)
+        ),
+        voluptuous.Optional("limit_excess"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=1)),
+        voluptuous.Optional("limit_slack"): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0, max=1000000)
+        ),
         voluptuous.Optional("linger_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60)),
         voluptuous.Optional("drain_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
     },
--- a/mothshed/replicas/verdict.py
+++ b/mothshed/replicas/verdict.py
@@ -59,7 +59,7 @@
 class Bounce(Exception):
     """A request refused: nothing ran and nothing will."""
 
-    def __init__(self, status, reason, retry=0, cause="other"):
+    def __init__(self, status: int, reason: str, retry: float = 0, cause: str = "other") -> None:
         super().__init__(reason)
         self.cause = cause  # for the metrics: why service was refused
         self.status = status
--- a/tests/peer_nodes.py
+++ b/tests/peer_nodes.py
@@ -93,5 +93,6 @@
         gate.wait(0.005)
 
 
-def packed(mark):
-    return records.pack("ask", part=0, mark=mark, held=0, staged=0)
+def packed(mark, release=None):
+    """The record that a node sends for this mark, as a reader of this release is sent it."""
+    return records.CODEC.pack("ask", {"part": 0, "mark": mark, "held": 0, "staged": 0}, release)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -111,7 +111,7 @@
         node.wait_for(2)
         node.send("127.0.0.1:1", 3)
         latter.settimeout(peer_nodes.WAIT)
-        assert latter.recv(1000) == peer_nodes.packed(3)
+        assert latter.recv(1000) == peer_nodes.packed(3, 0)
 
 
 def test_a_receiver_that_fails_costs_neither_the_connection_nor_the_thread(make_node):
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -23,12 +23,13 @@
 FOLDER = pathlib.Path(__file__).parent / "releases"
 RECORDED = {path.stem: json.loads(path.read_text()) for path in sorted(FOLDER.glob("records-*.json"))}
 APPEND_TEXT = RECORDED["records-1"]["append"]["fields"]
+NEXT_RELEASE = constants.RECORDS_RELEASE + 1
 LATER = [
     *(row for row in record_kinds.KINDS if row.name != "append"),
-    record_kinds.kind(16, "append", APPEND_TEXT + " sent_at:d@2=0.0 note:j@2=null"),
-    record_kinds.kind(60, "pulse", "part:q mark:q", 2),
+    record_kinds.kind(16, "append", APPEND_TEXT + f" sent_at:d@{NEXT_RELEASE}=0.0 note:j@{NEXT_RELEASE}=null"),
+    record_kinds.kind(60, "pulse", "part:q mark:q", NEXT_RELEASE),
 ]
-NEXT = records.Codec(LATER, 2)
+NEXT = records.Codec(LATER, NEXT_RELEASE)
 
 
 def table_of(rows):
@@ -109,11 +110,11 @@
 def test_a_connection_lives_on_over_records_of_a_later_release(make_node):
     node = make_node()
     with socket.create_connection(link_module.split(node.address), 5) as conn:
-        hello = NEXT.pack("hello", {"address": "127.0.0.1:1", "release": 2})
+        hello = NEXT.pack("hello", {"address": "127.0.0.1:1", "release": NEXT_RELEASE})
         conn.sendall(hello + NEXT.pack("pulse", {"part": 0, "mark": 1}) + peer_nodes.packed(3))
         node.wait_for(1)
         assert node.count("unknown_kind") == 1 and node.count("record_fault") == 0
-        assert node.loop.table.release_of("127.0.0.1:1") == 2
+        assert node.loop.table.release_of("127.0.0.1:1") == NEXT_RELEASE
 
 
 def test_a_peer_of_the_release_before_the_rule_is_told_what_it_can_read(make_node):
@@ -132,7 +133,7 @@
         node.send(address, 2)
         with server.accept()[0] as conn:
             conn.settimeout(peer_nodes.WAIT)
-            expected = known + peer_nodes.packed(2)
+            expected = known + peer_nodes.packed(2, 0)
             with conn.makefile("rb") as stream:
                 assert stream.read(len(expected)) == expected
     node.clock.seconds += constants.PEER_FORMER + 0.1
