A request is matched by the routes of its own sequence while another thread takes up the next document

Threads shared the newest table through two attributes: between setting and returning it another thread could put in the table of another sequence, so that a request was checked against one document and matched by the other.

--- a/mothshed/data_plane/routes.py
+++ b/mothshed/data_plane/routes.py
@@ -35,12 +35,15 @@
     """The table of the document in force, made anew when that changes."""
 
     def __init__(self):
-        self.sequence, self.table = None, None
+        self.newest = (None, None)  # sequence and its table, replaced as one: threads read it without a lock
 
     def of(self, sequence, document):
-        if self.sequence != sequence:
-            self.table, self.sequence = Table(document), sequence
-        return self.table
+        """The table of a document, of just this sequence though other threads may ask for another one."""
+        known, table = self.newest
+        if known != sequence:
+            table = Table(document)
+            self.newest = (sequence, table)
+        return table
 
 
 def plan_is_current(
