Limits of tenants are counted over the whole fleet: a permit for each request, from the leader of the tenant's part

Now a router asks the leader of the tenant's part for a permit before it places a request, and answers 429 with the moment of the next token when there is none; docs/shared.md says why the bound holds over any number of leaders, cuts and freezes.

--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -59,6 +59,13 @@
 KEY_DIGEST_BYTES = 16  # bytes of a key's digest: nobody finds another key with the same one.
 SEQUENCE_MOST = 9007199254740991  # highest sequence: 2**53 - 1, which every JSON reader holds exactly.
 
+# --- limits of tenants ---------------------------------------------------
+PERMIT_AGAIN = 0.06  # s; an ask for permits that nobody answered is made anew: some round trips between zones.
+PERMIT_WAIT_MOST = 1.0  # s; who asked a member that knew no leader is told of a new one for this long: an election.
+PERMIT_RETRY_AFTER = 0.6  # s; told when no leader gave a permit in time: most of an election.
+PERMIT_RETRY_LEAST = 0.01  # s; shortest pause told to a tenant over its limit.
+PERMIT_MARKS = 50  # asks without an answer that are remembered: three seconds of them.
+
 # --- orders to replicas --------------------------------------------------
 TURN_GAP = 3.2  # s; a new holder waits this long before its first order (brief: 3).
 TURN_MARGIN = 0.2  # s; added to a deployment's own bound on turns: what an order takes from its check to its replica.
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -8,9 +8,11 @@
 import mothshed.control_plane.config_part as config_part
 import mothshed.control_plane.keeper_front as keeper_front
 import mothshed.control_plane.lease_bounds as lease_bounds
+import mothshed.control_plane.limit_bounds as limit_bounds
 import mothshed.control_plane.list_duty as list_duty
 import mothshed.control_plane.member as member_module
 import mothshed.control_plane.orders as orders
+import mothshed.control_plane.permit_duty as permit_duty
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.service_part as service_part
 import mothshed.http.front as front
@@ -89,6 +91,7 @@
             return member, config_part.ConfigDuty(member, lease_bounds.LeaseBounds(in_force))
         tenure = settings.get("tenure_s")
         duty = orders.OrderDuty(member, self.replicas, self.lease, self.journal, self.speech, tenure)
+        permit_duty.PermitDuty(member, self.lease, self.journal, limit_bounds.from_settings(settings))
         if self.speech and part == constants.LIST_PART:
             list_duty.ListDuty(member, self.replicas)
         return member, duty
--- /dev/null
+++ b/mothshed/control_plane/permit_duty.py
@@ -0,0 +1,109 @@
+"""The leader of a tenant's part grants permits: one for each request of a tenant that has a limit.
+
+The count is kept in memory, in a token bucket for each tenant. A leader grants only while no other one can have been
+elected, so grants of two leaders never overlap in time; a new one begins with an empty bucket, or, if its predecessor
+began long enough ago, with what the deployment's bounds leave for that. docs/shared.md has the argument.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import mothshed.constants as constants
+import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.control_plane.limit_bounds as limit_bounds
+import mothshed.control_plane.token_bucket as token_bucket
+
+Body = dict[str, typing.Any]
+Grant = tuple[int, float]  # how many are granted, and seconds until the next token if that is fewer than asked for
+
+
+class PermitDuty:
+    """What a member of a part does for the limits of the part's tenants."""
+
+    def __init__(
+        self, member: typing.Any, lease: typing.Any, journal: typing.Any, bounds: limit_bounds.LimitBounds
+    ) -> None:
+        self.member, self.lease, self.journal, self.bounds = member, lease, journal, bounds
+        self.environment = member.desk
+        # when the entries with which the last two leaders began were applied here, or later
+        self.began: collections.deque[float] = collections.deque([self.environment.now()] * 2, maxlen=2)
+        self.buckets: dict[str, token_bucket.TokenBucket] = {}
+        self.started = self.environment.now()
+        self.with_credit = False
+        self.leading = False
+        self.redirected: dict[str, tuple[float, int]] = {}  # address -> (when, mark): asked while no leader was known
+        member.machine.leader_began = self.leader_began
+        member.duties.append(self)
+        self.environment.hear("permit_ask", self.on_permit_ask, member.part)
+
+    def leader_began(self) -> None:
+        """The entry with which a leader begins was applied."""
+        self.began.append(self.environment.now())
+
+    def start(self) -> None:
+        """This member leads, and its own first entry is applied."""
+        self.leading = True
+        self.started = self.environment.now()
+        self.buckets = {}
+        self.with_credit = self.started - self.began[0] > self.bounds.window_s
+        for address, (asked_at, mark) in self.redirected.items():
+            if self.started - asked_at < constants.PERMIT_WAIT_MOST:
+                self.redirect(address, mark, self.environment.address)
+        self.redirected = {}
+
+    def stop(self) -> None:
+        """This member leads no more."""
+        self.leading = False
+
+    def redirect(self, address: str, mark: int, leader: str) -> None:
+        """Say who leads, "" if that is not known."""
+        self.environment.tell(address, "look_elsewhere", part=self.member.part, mark=mark, leader=leader)
+
+    def on_permit_ask(self, sender: str, body: Body) -> None:
+        """Grant what the buckets hold; tenants that the document in force here does not name get no answer yet."""
+        if not (self.leading and self.member.sure()):
+            leader = leader_hint.leader_address(self.member)
+            if not leader:
+                self.redirected[sender] = (self.environment.now(), body["mark"])
+            self.redirect(sender, body["mark"], "" if leader == self.environment.address else leader)
+            return
+        sequence, document = self.lease.current()
+        if sequence is None or document is None:
+            self.journal.add("permit_ask", outcome="no_lease")
+            return
+        grants = {}
+        for tenant, count in body["counts"].items():
+            row = document["tenants"].get(tenant)
+            if row is None:
+                self.journal.add("permit_ask", outcome="unknown_tenant")
+                continue
+            grants[tenant] = self.grant(tenant, row, count)
+            self.journal.add("permit_ask", outcome="granted" if grants[tenant][0] >= count else "refused")
+        self.environment.tell(sender, "permits", part=self.member.part, mark=body["mark"], grants=grants)
+
+    def grant(self, tenant: str, row: dict[str, typing.Any], count: int) -> Grant:
+        """How many of so many requests of a tenant are let through now."""
+        rate = row.get("rate_per_s", 0)
+        if not rate:
+            self.buckets.pop(tenant, None)
+            return count, 0.0
+        now = self.environment.now()
+        bucket = self.bucket(tenant, rate, row.get("burst", 0), now)
+        taken = bucket.take(count, now)
+        return taken, 0.0 if taken >= count else bucket.next_token_s(now)
+
+    def bucket(self, tenant: str, rate: float, burst: float, now: float) -> token_bucket.TokenBucket:
+        """The tenant's bucket by its limit as it is now."""
+        capacity = self.bounds.capacity(rate, burst)
+        found = self.buckets.get(tenant)
+        if found is None:
+            level = self.bounds.first_level(rate, burst) if self.with_credit else 0.0
+            found = self.buckets[tenant] = token_bucket.TokenBucket(rate, capacity, level, self.started)
+        if (found.rate, found.capacity) != (rate, capacity):
+            found.change(rate, capacity, now)
+        return found
+
+    def report(self) -> dict[str, typing.Any]:
+        """For the page of the keeper's condition."""
+        return {"limited_tenants": len(self.buckets), "began_with_credit": self.with_credit}
--- a/mothshed/control_plane/service_part.py
+++ b/mothshed/control_plane/service_part.py
@@ -22,8 +22,11 @@
     def __init__(self):
         self.holder, self.standing = "", 0
         self.roles = {}  # replica name -> role
+        self.leader_began = lambda: None  # told when the entry of a new leader is applied, or may have been
 
     def apply(self, index, command):
+        if command["op"] == "begin":
+            self.leader_began()
         if command["op"] == "take":
             self.holder, self.standing = command["who"], self.standing + 1
             return {"standing": self.standing}
@@ -39,6 +42,7 @@
 
     def restore(self, state):
         self.holder, self.standing, self.roles = state["holder"], state["standing"], dict(state["roles"])
+        self.leader_began()  # a snapshot may stand for such an entry
 
 
 def bounds(pool, count):
--- /dev/null
+++ b/mothshed/control_plane/token_bucket.py
@@ -0,0 +1,42 @@
+"""A token bucket: how many requests may be let through now, and when the next one may be.
+
+>>> bucket = TokenBucket(rate=2.0, capacity=4.0, level=1.0, now=0.0)
+>>> bucket.take(3, now=0.5), bucket.next_token_s(now=0.5)
+(2, 0.5)
+>>> bucket.take(3, now=100.0)
+3
+"""
+
+import mothshed.constants as constants
+
+
+class TokenBucket:
+    """rate: tokens a second, above 0. capacity, level: tokens. now: seconds of the boot clock."""
+
+    def __init__(self, rate: float, capacity: float, level: float, now: float) -> None:
+        self.rate, self.capacity = rate, capacity
+        self.level = min(level, capacity)
+        self.filled_at = now
+
+    def fill(self, now: float) -> None:
+        """Add what has come since the last time."""
+        self.level = min(self.capacity, self.level + self.rate * max(0.0, now - self.filled_at))
+        self.filled_at = now
+
+    def change(self, rate: float, capacity: float, now: float) -> None:
+        """Another limit from now on; tokens above the new capacity are gone."""
+        self.fill(now)
+        self.rate, self.capacity = rate, capacity
+        self.level = min(self.level, capacity)
+
+    def take(self, most: int, now: float) -> int:
+        """Take as many whole tokens as there are, `most` at most."""
+        self.fill(now)
+        taken = min(most, int(self.level + constants.ROUNDING))
+        self.level = max(0.0, self.level - taken)
+        return taken
+
+    def next_token_s(self, now: float) -> float:
+        """Seconds until a whole token is there; 0 if one is."""
+        self.fill(now)
+        return max(0.0, (1.0 - self.level) / self.rate)
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -42,6 +42,7 @@
         self.last = ask.after  # id of the last event delivered
         self.pair = self.handle = self.reply = None
         self.selector = {}  # of the replicas that the pair was taken from
+        self.permitted = None  # the tenant of whom this request has a permit
         self.times = stage_times.StageTimes(self.desk.now)
         self.event_at = None  # when the last event came from the replica that sends now
         self.pauses = pauses_module.Pauses(self.desk.now, self.route.get("pause_s"))
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -25,6 +25,7 @@
         until = min(self.ask.cutoff, self.desk.now() + self.ask.patience)
         while True:
             self.stop_if_caller_left()
+            self.take_permit(until)
             found = self.try_place(alone)
             if isinstance(found, pair_module.Pair):
                 return found
@@ -33,6 +34,24 @@
                 self.give_in(found.reason)
             self.desk.pause(constants.PLACE_BEAT)
 
+    def take_permit(self, until: float) -> None:
+        """Take the permit that this request needs of its tenant, once; raises Bounce if there is none."""
+        if not self.lacks_permit():
+            return
+        tenant = self.ask.identity.tenant
+        sequence, document = self.router.lease.current()
+        if sequence is None:
+            return
+        row = document["tenants"].get(tenant)
+        if row is not None:
+            self.router.permits.take(tenant, row, sequence, until, self.ask.caller)
+            self.permitted = tenant
+
+    def lacks_permit(self) -> bool:
+        """Whether a permit of its tenant is still to be taken: one for the whole request, however often it is sent."""
+        tenant = self.ask.identity.tenant if self.ask.identity else None
+        return tenant is not None and tenant != self.permitted and not self.decodes
+
     def try_place(self, alone: bool) -> pair_module.Pair | NoPlace:
         """A pair of places under the lease that runs now, if any; raises Bounce without a route or a known key."""
         sequence, document = self.router.lease.sequence(), self.router.lease.document()
@@ -44,6 +63,8 @@
             raise verdict.Bounce(404, "no route")
         self.route = route
         self.ask.identity = identity.identify(document, table.keys, route, self.ask.key_digest)
+        if self.lacks_permit():
+            return NoPlace("no permit", constants.PERMIT_RETRY_AFTER)
         pool = routes.pool_of(route, self.desk.random)
         self.selector = document["pools"][pool]["selector"]
         try:
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -33,7 +33,7 @@
     "expect",
 }
 
-REFUSED = {401: "unknown_key", 503: "bounced"}  # status -> how a refusal is counted
+REFUSED = {401: "unknown_key", 429: "over_limit", 503: "bounced"}  # status -> how a refusal is counted
 CHALLENGE = (("WWW-Authenticate", "Bearer"),)
 
 
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -9,6 +9,7 @@
 import mothshed.data_plane.budget as budget
 import mothshed.data_plane.frees as frees
 import mothshed.data_plane.guard as guard
+import mothshed.data_plane.permits as permits
 import mothshed.data_plane.placing as placing
 import mothshed.data_plane.route_front as route_front
 import mothshed.data_plane.router_front as router_front
@@ -16,6 +17,7 @@
 import mothshed.data_plane.usage_share as usage_share
 import mothshed.http.front as front
 import mothshed.replicas.known_replicas as replicas_module
+import mothshed.replicas.leaders as leaders
 import mothshed.replicas.listed as listed
 import mothshed.replicas.replica_adapter as replica_adapter
 import mothshed.runtime.counters as counters
@@ -46,6 +48,8 @@
         self.frees = frees.Frees(desk, self.journal, (speech or replica_adapter).free)
         self.placing = placing.Placing(desk, self.replicas, self.cell)
         self.tables = routes.Tables()
+        self.leaders = self.replicas.leaders if speech else leaders.Leaders(desk, self.gossip.keepers)
+        self.permits = permits.Permits(desk, self.leaders, self.journal)
         if speech:
             self.usage = usage_share.UsageShare(desk, self.replicas, self.placing)
         self.guard = guard.Guard(desk, self.gossip, self.frees, self.journal)
--- a/mothshed/replicas/leaders.py
+++ b/mothshed/replicas/leaders.py
@@ -11,6 +11,7 @@
     def __init__(self, desk, keepers):
         self.desk, self.keepers = desk, keepers
         self.known, self.since, self.turn = {}, {}, 0  # part -> address; when an ask first went unanswered
+        self.changed = []  # call(part) when somebody is named as its leader
         for part in range(1, constants.PARTS):
             desk.hear("look_elsewhere", self.on_look_elsewhere, part)
 
@@ -20,8 +21,9 @@
         if now - self.since.setdefault(part, now) > constants.USAGE_SILENT:
             self.known.pop(part, None)
             self.since[part] = now
-        if part in self.known:
-            return self.known[part]
+        leader = self.known.get(part)
+        if leader:
+            return leader
         goals = sorted(set(self.keepers()))
         self.turn += 1
         return goals[self.turn % len(goals)] if goals else ""
@@ -32,5 +34,7 @@
         self.since.pop(part, None)
 
     def on_look_elsewhere(self, sender, body):
-        if body["leader"]:
+        if body["leader"] and body["leader"] != self.known.get(body["part"]):
             self.known[body["part"]] = body["leader"]
+            for call in self.changed:
+                call(body["part"])
