Fields that are the system's own to set never come from a caller

What callers saw: a request that bore a Leg or Cache-From of its own reached a writer with it. A Leg of prefill made writers turn the request away (421), so that it was served by nobody; a Cache-From sent a writer to fetch from any address and handle that a caller names, also that of another request, since replicas don't check whose a handle is.

Cause: the fields of a request were passed on but for those of one connection and the key; Leg and Cache-From are added only on the sends that need them, so a caller's own stayed on all others. Time-Left and Expect-Replica were replaced on each send already; all four are withheld now, in one place for all paths.

Ruled out: another spelling (names are read in one form, a field that comes twice is one), and Last-Event-Id, which is the caller's until an event has been passed on and ours from then on.

--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -119,7 +119,7 @@
             environ["REQUEST_METHOD"],
             host,
             target,
-            passed(raw, withheld),
+            passed(raw, withheld | self.speech.system_fields),
             data,
             said["parts"],
             said["tokens"],
