A caller's own urgency counts for nothing where keys are asked for

What callers saw: any tenant could put its requests before all others by an Urgency of 0 of its own, at the readers and at the writers, since the field was set only where a caller had sent none.

--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -69,3 +69,12 @@
     assert site.ask(host, headers=bearer(KEY))[1].status == 401
     assert len(all_sends(replicas)) == served
     assert site.ask(host, headers=bearer(OTHER_KEY))[1].status == 200
+
+
+@pytest.mark.parametrize("legs", ["pd", "d"])
+def test_where_keys_are_asked_for_a_callers_own_urgency_reaches_no_replica(site, legs):
+    host, replicas = site.service(legs)
+    _own, answer = site.ask(host, headers=[*bearer(KEY), ("Urgency", "7")])
+    told = [request.all("Urgency") for request in all_sends(replicas)]
+    assert answer.status == 200 and len(told) == len(legs)
+    assert all(len(rows) == 1 and rows != ["7"] for rows in told)
