A number in other digits is no fault of ours

What callers saw: 502 with may_have_run, and a crash with the whole ring in the log, for a Last-Event-Id or a token count that holds a digit such as a raised 2, which is no number that can be read.

Cause: str.isdigit is true of raised digits, int() refuses them. str.isdecimal fits what int() reads. The field goes on as it came; what it says is for the replica to judge.

--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -5,6 +5,7 @@
 import pytest
 
 import mothshed.constants as constants
+import tests.bare_http as bare_http
 import tests.platform_site as platform_site
 
 INNER = b"POST /p/in HTTP/1.1\r\nHost: %b\r\nTry-Id: smuggled-%b\r\nContent-Length: 0\r\n\r\n"
@@ -128,3 +129,16 @@
     own, answer = site.ask(host, headers=[("Try_Id", "other"), ("Time_Left", "900")], prompt=False)
     assert answer.status == 200 and [r.get("Try-Id") for r in replica.asked] == [own]
     assert int(replica.asked[0].get("Time-Left")) > 1000
+
+
+@pytest.mark.parametrize("name, value", [("Last-Event-Id", "²"), ("Prompt-Prefix", "a:²"), ("Tokens", "²,²")])
+def test_a_number_in_other_digits_is_passed_on_as_it_came(site, name, value):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    replica.run = answer_done
+    _own, answer = site.ask(host, headers=[(name, value)], prompt=False)
+    assert answer.status == 200 and [request.all(name) for request in replica.asked] == [[value]]
+
+
+def answer_done(conn, request, fault, more):
+    conn.sendall(bare_http.whole(200, [*more, ("Postmark", "stamp.own")], b"done"))
+    return True
