A carriage return or a zero byte within a line of a head is refused with 400

What callers saw: such a value went on to the replica as it came (a carriage return before a space, a zero byte), where another reader may take it for the end of the line and find a field that nobody sent; or (any other carriage return) our own client refused to write it, which was answered 502 with the field's value in the text and held against the replica as if it had failed.

Cause: lines end at a line feed here, and nothing looked at the other bytes that end one elsewhere. RFC 9110 5.5 lets a server refuse them. Lengths, encodings and folded lines were strict already.

Before: 3 of 3 cases of the new test fail; after: none.

--- a/mothshed/http/headers.py
+++ b/mothshed/http/headers.py
@@ -1,9 +1,9 @@
 """Reads a request's head strictly: what two readers could read in two ways is refused.
 
 A length given twice or beside an encoding, an odd length, another encoding than
-chunked, folded lines and a space before the colon are a ValueError, which the server
-answers with 400 and an end of the connection. Other fields that come twice are kept,
-joined by a comma.
+chunked, folded lines, a space before the colon, and a carriage return or a zero byte
+within a line are a ValueError, which the server answers with 400 and an end of the
+connection. Other fields that come twice are kept, joined by a comma.
 """
 
 import socket
@@ -15,6 +15,8 @@
 import mothshed.runtime.clock as clock
 
 ONCE = {b"Content-Length", b"Transfer-Encoding", b"Host"}
+LINE_END = b"\r\n"
+NEVER_IN_A_LINE = (b"\r", b"\0")  # some readers take them for the end of a line or of the head
 
 
 class Lines:
@@ -28,6 +30,8 @@
         name = line.partition(b":")[0]
         if line.strip() and (line[:1] in b" \t" or name != name.strip()):
             raise ValueError("Folded line or space before a colon.")
+        if any(byte in line.removesuffix(LINE_END) for byte in NEVER_IN_A_LINE):
+            raise ValueError("A carriage return or a zero byte within a line.")
         return line
 
 
--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -142,3 +142,11 @@
 def answer_done(conn, request, fault, more):
     conn.sendall(bare_http.whole(200, [*more, ("Postmark", "stamp.own")], b"done"))
     return True
+
+
+@pytest.mark.parametrize("odd", [b"X-Odd: 1\r Leg: prefill", b"X-Odd: 1\rLeg: prefill", b"X-Odd: a\0b"], ids=repr)
+def test_a_head_with_a_carriage_return_or_a_zero_byte_within_a_line_is_refused(site, odd):
+    host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
+    rows = [b"POST /p/x HTTP/1.1", b"Host: " + host.encode(), b"Try-Id: odd", odd, b"Content-Length: 0"]
+    said = say(site, b"\r\n".join(rows) + b"\r\n\r\n")
+    assert said.startswith(b"HTTP/1.1 400 ") and replica.asked == []
