The history of configurations shows no keys

What callers saw: on the platform, GET /configuration/history gave every kept document with the text that its operator sent, and so every key of every tenant, also those taken away long ago.

Cause: the adapter answers /configuration itself and leaves all other paths to our own front, which showed documents whole. The history leaves that text out now, as what routers are sent does.

--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -4,8 +4,9 @@
 PUT /configuration            {"base": sequence, "document": {...}, "by": "...", "id": "..."}
 PATCH /configuration          {"base": sequence, "put": {...}, "remove": {...}, "by": "...", "id": "..."}: changes
                               named items of the newest document (document_change.py); answered as PUT is
-GET /configuration/history    the accepted documents that are kept, oldest first; with ?id=ID, several if
-                              wanted, also `taken`: the sequence that each order was given, or null
+GET /configuration/history    the accepted documents that are kept, oldest first, without the text that an adapter
+                              took them from, which may hold keys; with ?id=ID, several if wanted, also
+                              `taken`: the sequence that each order was given, or null
 GET /condition, /metrics      this keeper
 
 A keeper that does not own part 0 sends the caller on with 307, to a leader that it
@@ -25,6 +26,7 @@
 import mothshed.constants as constants
 import mothshed.control_plane.confirmed_calls as confirmed_calls
 import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.control_plane.leaseholder as leaseholder
 import mothshed.http.front as front
 
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's start_response
@@ -114,7 +116,7 @@
                 "active": m.active,
                 "latest": m.latest,
                 "rows": [
-                    {"sequence": s, "by": r["by"], "id": r["id"], "document": r["doc"]}
+                    {"sequence": s, "by": r["by"], "id": r["id"], "document": leaseholder.delivered_form(r["doc"])}
                     for s, r in sorted(m.docs.items())
                 ],
                 "taken": {order_id: m.taken.sequence_of(order_id) for order_id in asked},
