A key with half a character is refused without being shown

What callers saw: the 400 to a configuration whose key holds an unpaired surrogate showed the key whole, since the text of an encoding fault holds what could not be encoded.

--- a/tests/test_key_secrecy.py
+++ b/tests/test_key_secrecy.py
@@ -219,6 +219,7 @@
 
 FAULTY = {
     "shared": [{"name": "a", "permits": [KEY]}, {"name": "b", "permits": [KEY]}],
+    "half a character": [{"name": "a", "permits": [KEY + "\ud800"]}],
     "no list": [{"name": "a", "permits": KEY}],
     "no text": [{"name": "a", "permits": [{KEY: 1}]}],
     "no name": [{"permits": [KEY]}],
