Keys and limits of tenants hold at our own interface too

What callers saw: with require_key in the document, /v1/completions and /v1/chat/completions served anybody as whatever tenant x-tenant named, with no key and no limit.

Cause: keys and permits were built into the delivery of routes only. The same parts (identity, key table, permits) now serve both ways in: 401 with WWW-Authenticate where no known key comes along, 403 where x-tenant names another tenant than the key's, one permit for the whole request before admission, 429 with Retry-After beyond the limit. Who a request comes from is asked again before each send under a newer document: a key that was taken away gives 401, one that went to another tenant 503 (ask again), both only where nothing ran; after a prefill, which is a run here, it ends as one that may have run. Without a lease nothing is said of a key: 503. Without require_key all is as it was, and no permit is needed.

The wait for a lease stood in the front of routes only and is the router's now; how refusals are counted and the challenge of a 401 stand beside the identity.

--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -31,6 +31,7 @@
         self.tries, self.number = 0, 0  # prefills begun; sends named
         self.without = set()
         self.handle = None
+        self.identified = None  # the sequence under which its tenant was asked for last
 
     def run(self):
         try:
@@ -44,6 +45,7 @@
             self.handle = None
 
     def rounds(self):
+        self.take_permit()
         plan = self.admit()
         self.chart.step("admit")
         while True:
@@ -107,7 +109,7 @@
 
         def make_plan():
             self.stop_if_caller_left()
-            sequence, document = router.lease.sequence(), router.lease.document()
+            sequence, document = router.lease.current()
             if sequence is None or router.held_waiting:  # held handles come before new prompts
                 return None
             plan = planning.make(router.replicas, sequence, document, request, router.cell, self.without)
--- a/mothshed/data_plane/identity.py
+++ b/mothshed/data_plane/identity.py
@@ -4,6 +4,7 @@
 may have been taken away, or given to another tenant, while the request waited.
 """
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -12,6 +13,10 @@
 import mothshed.replicas.verdict as verdict
 
 FIELD = "authorization"  # in lower case; it never goes on to a replica where keys are asked for
+CHALLENGE = (("WWW-Authenticate", "Bearer"),)  # goes with a 401
+REFUSED = {401: "unknown_key", 429: "over_limit", 503: "bounced"}  # status -> how a refusal is counted
+TENANT_FIELD = "x-tenant"  # of our own interface, in lower case
+NO_ROUTE: dict[str, typing.Any] = {}  # our own interface has none, and never serves without a key where keys are asked
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +41,25 @@
     return Identity(tenant)
 
 
+def of_caller(
+    document: dict[str, typing.Any], keys: tenant_keys.KeyTable, headers: collections.abc.Mapping[str, str]
+) -> Identity | None:
+    """Who a request to our own interface comes from, None where no key is asked for; raises Bounce (401 or 403).
+
+    headers: by names in lower case. The tenant that a caller names must be the one that holds its key.
+    """
+    found = identify(document, keys, NO_ROUTE, tenant_keys.digest_in(headers.get(FIELD, "")))
+    named = headers.get(TENANT_FIELD, "")
+    if found is not None and named and named != found.tenant:
+        raise verdict.Bounce(403, f"the key is none of tenant {named!r}", cause="other_tenant")
+    return found
+
+
+def challenge(status: int) -> collections.abc.Sequence[tuple[str, str]]:
+    """The header fields that go with a refusal of this status."""
+    return CHALLENGE if status == 401 else ()
+
+
 def is_current(
     identity: Identity | None,
     document: dict[str, typing.Any],
--- a/mothshed/data_plane/intake.py
+++ b/mothshed/data_plane/intake.py
@@ -8,7 +8,9 @@
 import math
 import re
 
+import mothshed.configuration.tenant_keys as tenant_keys
 import mothshed.constants as constants
+import mothshed.data_plane.identity as identity_module
 import mothshed.http.caller as caller_module
 import mothshed.replicas.replica_adapter as replica_adapter
 import mothshed.replicas.verdict as verdict
@@ -30,14 +32,19 @@
     born: float
     cutoff: float  # moment by which the answer must be whole
     caller: caller_module.Caller = dataclasses.field(default_factory=caller_module.Caller)
+    key_digest: str | None = None  # of the API key that came with it
+    identity: identity_module.Identity | None = None  # who it comes from; None where no key is asked for
 
 
 def bad(reason, status=400):
     return verdict.Bounce(status, reason)
 
 
-def parse(now, path, headers, data, document):
-    """Reads a request; headers are lower-case names. document: the active configuration."""
+def parse(now, path, headers, data, document, caller_identity=None):
+    """Reads a request; headers are lower-case names. document: the active configuration.
+
+    caller_identity: who it comes from, None where no key is asked for: then the tenant is the one that it names.
+    """
     try:
         body = json.loads(data)
     except (ValueError, RecursionError) as e:
@@ -54,7 +61,8 @@
     most = body.get("max_tokens", 16)
     if not isinstance(most, int) or isinstance(most, bool) or most < 1:
         raise bad("max_tokens must be a whole number above 0")
-    tenant, kind = headers.get("x-tenant", ""), headers.get("x-kind", "")
+    tenant = caller_identity.tenant if caller_identity else headers.get(identity_module.TENANT_FIELD, "")
+    kind = headers.get("x-kind", "")
     if tenant not in document["tenants"]:
         raise bad(f"unknown tenant {tenant!r}", 403)
     if kind and kind not in document["kinds"]:
@@ -79,6 +87,8 @@
         body.get("stream", False),
         now,
         now + span,
+        key_digest=tenant_keys.digest_in(headers.get(identity_module.FIELD, "")),
+        identity=caller_identity,
     )
 
 
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -33,9 +33,6 @@
     "expect",
 }
 
-REFUSED = {401: "unknown_key", 429: "over_limit", 503: "bounced"}  # status -> how a refusal is counted
-CHALLENGE = (("WWW-Authenticate", "Bearer"),)
-
 
 @dataclasses.dataclass
 class Ask:
@@ -97,12 +94,7 @@
         limits = (router.lease.document() or {}).get("limits", {})
         data = front.body_of(environ, limits.get("body_bytes", constants.BODY_MOST))
         target, host = environ["REQUEST_URI"], raw.get("Host", "")
-        until = self.desk.now() + constants.LEASE_PATIENCE
-        while router.lease.sequence() is None and self.desk.now() < until and not caller.has_left():
-            self.desk.pause(constants.PLACE_BEAT)
-        if caller.has_left():
-            raise verdict.CallerLeft()
-        sequence, document = router.lease.sequence(), router.lease.document()
+        sequence, document = router.wait_for_lease(caller)
         if sequence is None or document is None:
             raise verdict.Bounce(503, "no configuration in force", constants.BOUNCE_LEASE, "no_lease")
         table = router.tables.of(sequence, document)
@@ -148,10 +140,10 @@
             add("delivery", outcome="invalid")
             return front.fault(start, e.status, e.reason, headers=[("Connection", "close")])
         if isinstance(e, verdict.Bounce):
-            add("delivery", outcome=REFUSED.get(e.status, "invalid"), reason=e.reason)
+            add("delivery", outcome=identity_module.REFUSED.get(e.status, "invalid"), reason=e.reason)
             if e.status == 503:
                 add("refusal", outcome=e.reason.replace(" ", "_"))
-            return self.fault(start, e.status, e.reason, e.retry, headers=CHALLENGE if e.status == 401 else ())
+            return self.fault(start, e.status, e.reason, e.retry, headers=identity_module.challenge(e.status))
         if isinstance(e, verdict.CallerLeft):
             add("delivery", outcome="left")
             return self.fault(start, 502, "the caller hung up", 0, "may_have_run")
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import threading
+import typing
 
 import mothshed.configuration.lease as lease_module
 import mothshed.constants as constants
@@ -15,11 +16,13 @@
 import mothshed.data_plane.router_front as router_front
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.usage_share as usage_share
+import mothshed.http.caller as caller_module
 import mothshed.http.front as front
 import mothshed.replicas.known_replicas as replicas_module
 import mothshed.replicas.leaders as leaders
 import mothshed.replicas.listed as listed
 import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal_module
 import mothshed.transport.gossip as gossip
@@ -85,6 +88,15 @@
         with self.lock:
             self.flight -= 1
 
+    def wait_for_lease(self, caller: caller_module.Caller) -> tuple[int | None, dict[str, typing.Any] | None]:
+        """The sequence to serve under and its document, waited for a little; raises CallerLeft."""
+        until = self.desk.now() + constants.LEASE_PATIENCE
+        while self.lease.sequence() is None and self.desk.now() < until and not caller.has_left():
+            self.desk.pause(constants.PLACE_BEAT)
+        if caller.has_left():
+            raise verdict.CallerLeft()
+        return self.lease.current()
+
     def drain(self, most):
         """Lingers while new requests still come, then takes nothing new; True once nothing is left."""
         self.leaving = True
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -11,7 +11,9 @@
 
 import mothshed.constants as constants
 import mothshed.data_plane.carry as carry
+import mothshed.data_plane.identity as identity
 import mothshed.data_plane.intake as intake
+import mothshed.http.caller as caller_module
 import mothshed.http.front as front
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.ring as ring
@@ -70,11 +72,18 @@
 
     def read(self, path, environ, headers, caller):
         """The request; its waits and cutoff count from when it arrived, not from when a thread was free."""
-        born, data = caller.arrived if caller else self.router.desk.now(), front.body_of(environ)
-        document = self.router.lease.document()
+        router = self.router
+        born, data = caller.arrived if caller else router.desk.now(), front.body_of(environ)
+        document = router.lease.document()
         if document is None:
             raise verdict.Bounce(503, "no configuration yet", constants.RETRY_AFTER, "no_configuration")
-        request = intake.parse(born, path, headers, data, document)
+        found = None
+        if document.get("require_key"):
+            sequence, document = router.wait_for_lease(caller or caller_module.Caller())
+            if sequence is None:
+                raise verdict.Bounce(503, "no lease", constants.RETRY_AFTER, "no_lease")
+            found = identity.of_caller(document, router.tables.of(sequence, document).keys, headers)
+        request = intake.parse(born, path, headers, data, document, found)
         if caller:
             caller.shut_after(request.cutoff + constants.ANSWER_SLACK)
             request.caller = caller
@@ -89,9 +98,10 @@
             add("request", outcome="invalid")
             return front.fault(start, e.status, e.reason, headers=extra + [("Connection", "close")])
         if isinstance(e, verdict.Bounce):
-            add("request", outcome="bounced" if e.status == 503 else "invalid")
+            add("request", outcome=identity.REFUSED.get(e.status, "invalid"))
             if e.status == 503:
                 add("bounce", outcome="no_lease" if self.router.lease.sequence() is None else e.cause)
+            extra += identity.challenge(e.status)
             return front.fault(start, e.status, e.reason, retry=e.retry, headers=extra)
         if isinstance(e, verdict.CallerLeft):
             add("request", outcome="left")
--- a/mothshed/data_plane/sends.py
+++ b/mothshed/data_plane/sends.py
@@ -7,7 +7,10 @@
 asks with one id never meet at a replica.
 """
 
+import typing
+
 import mothshed.constants as constants
+import mothshed.data_plane.identity as identity
 import mothshed.data_plane.plan as planning
 import mothshed.http.web as web
 import mothshed.replicas.replica_adapter as replica_adapter
@@ -24,13 +27,51 @@
         until = min(self.request.cutoff, self.desk.now() + constants.LEASE_WAIT)
         while True:
             self.stop_if_caller_left()
-            sequence = self.router.lease.sequence()
+            sequence, document = self.router.lease.current()
             if sequence is not None:
-                return sequence, self.router.lease.document()
+                self.check_tenant(sequence, document)
+                return sequence, document
             if self.desk.now() >= until:
                 raise verdict.SendFailure(NOT_RUN, "no lease")
             self.desk.pause(constants.PLACE_BEAT)
 
+    def check_tenant(self, sequence: int, document: dict[str, typing.Any]) -> None:
+        """Asks again who the request comes from, under each newer document; raises its end if that has changed."""
+        if sequence == self.identified:
+            return
+        request, keys = self.request, self.router.tables.of(sequence, document).keys
+        try:
+            found = identity.identify(document, keys, identity.NO_ROUTE, request.key_digest)
+        except verdict.Bounce as refusal:
+            self.refuse(refusal)
+        if found != request.identity:
+            self.refuse(verdict.Bounce(503, "the key's tenant has changed", constants.RETRY_AFTER, "tenant_changed"))
+        self.identified = sequence
+
+    def refuse(self, refusal: verdict.Bounce) -> typing.NoReturn:
+        """Ends the request: by this refusal, or as one that may have run if some send of it has."""
+        if self.ran:
+            self.fails.append(verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, refusal.reason))
+            self.end()
+        self.chart.step("bounce")
+        raise refusal
+
+    def take_permit(self) -> None:
+        """Takes the one permit that a request of a proven tenant needs; raises Bounce and CallerLeft."""
+        request = self.request
+        if request.identity is None:
+            return
+        try:
+            sequence, document = self.sequence()
+        except verdict.SendFailure as e:
+            self.refuse(verdict.Bounce(503, e.reason, constants.RETRY_AFTER, "no_lease"))
+        until = min(request.cutoff, request.born + constants.QUEUE_WAIT)
+        try:
+            row = document["tenants"][request.tenant]
+            self.router.permits.take(request.tenant, row, sequence, until, request.caller)
+        except verdict.Bounce as refusal:
+            self.refuse(refusal)
+
     def ready(self, sequence, role):
         """The last check before a send: the lease still runs, under the same sequence."""
 
