The condition of a keeper names the tenants that are refused

What operators saw: a count of 429s, and nothing that says whose they are; the report that a part's leader makes on its limits was shown nowhere, since the page asks one duty of each part only.

The leader counts permits that were asked for in vain, by tenant, while it leads.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -158,8 +158,11 @@
 
     def condition(self):
         parts = [m.condition() for m in self.members]
-        for row, duty in zip(parts, self.duties):
+        for row, duty, member in zip(parts, self.duties, self.members, strict=True):
             row.update(duty.report())
+            for other in member.duties:
+                if isinstance(other, permit_duty.PermitDuty):
+                    row.update(other.report())
         return {
             "name": self.settings["name"],
             "who": self.who,
--- a/mothshed/control_plane/permit_duty.py
+++ b/mothshed/control_plane/permit_duty.py
@@ -29,6 +29,7 @@
         # when the entries with which the last two leaders began were applied here, or later
         self.began: collections.deque[float] = collections.deque([self.environment.now()] * 2, maxlen=2)
         self.buckets: dict[str, token_bucket.TokenBucket] = {}
+        self.refused: collections.Counter[str] = collections.Counter()  # tenant -> permits asked for in vain
         self.started = self.environment.now()
         self.with_credit = False
         self.leading = False
@@ -46,6 +47,7 @@
         self.leading = True
         self.started = self.environment.now()
         self.buckets = {}
+        self.refused.clear()
         self.with_credit = self.started - self.began[0] > self.bounds.window_s
         for address, (asked_at, mark) in self.redirected.items():
             if self.started - asked_at < constants.PERMIT_WAIT_MOST:
@@ -91,6 +93,8 @@
         now = self.environment.now()
         bucket = self.bucket(tenant, rate, row.get("burst", 0), now)
         taken = bucket.take(count, now)
+        if taken < count:
+            self.refused[tenant] += count - taken
         return taken, 0.0 if taken >= count else bucket.next_token_s(now)
 
     def bucket(self, tenant: str, rate: float, burst: float, now: float) -> token_bucket.TokenBucket:
@@ -106,4 +110,8 @@
 
     def report(self) -> dict[str, typing.Any]:
         """For the page of the keeper's condition."""
-        return {"limited_tenants": len(self.buckets), "began_with_credit": self.with_credit}
+        return {
+            "limited_tenants": len(self.buckets),
+            "began_with_credit": self.with_credit,
+            "refused_by_tenant": dict(self.refused) if self.leading else {},
+        }
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,6 +1,7 @@
 """Limits of tenants on the platform: a real keeper counts, a real router asks, over real sockets."""
 
 import concurrent.futures
+import json
 import time
 
 import pytest
@@ -63,6 +64,15 @@
     assert call(door, KEY).status == 200
 
 
+def test_the_condition_of_a_keeper_names_the_tenants_that_were_refused(door):
+    put(door, rate_per_s=0.5, surge=1)
+    statuses(door, KEY, CALLS)
+    statuses(door, OTHER_KEY, CALLS)
+    answer = platform_site.ask(door.address, "GET", "/condition", None, [("Host", "k")])
+    refused = [row.get("refused_by_tenant", {}) for row in json.loads(answer.body)["parts"]]
+    assert [list(row) for row in refused if row] == [["a"]] and max(row.get("a", 0) for row in refused) >= 1
+
+
 def test_a_tenant_without_a_limit_is_served_beside_one_over_its_limit(door):
     put(door, rate_per_s=0.5, surge=1)
     statuses(door, KEY, CALLS)
