mothshed key: make, digest, list, add, rotate and remove keys of tenants

A key is printed once and never sent: keepers are told its digest; what is given in place of a digest is not shown, it may be a key.

--- a/mothshed/configuration/tenant_keys.py
+++ b/mothshed/configuration/tenant_keys.py
@@ -16,7 +16,8 @@
 
 import mothshed.constants as constants
 
-DIGEST = voluptuous.All(str, voluptuous.Match(rf"^[0-9a-f]{{{2 * constants.KEY_DIGEST_BYTES}}}$"))
+DIGEST_PATTERN = rf"^[0-9a-f]{{{2 * constants.KEY_DIGEST_BYTES}}}\Z"
+DIGEST = voluptuous.All(str, voluptuous.Match(DIGEST_PATTERN))
 SCHEME = "bearer"
 
 
--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -57,6 +57,7 @@
 TAKEN_MOST = 16384  # orders remembered as taken: six days of 2,600 changes, 0.5 MB of a snapshot.
 DIGEST_BYTES = 16  # bytes of an order's digest: no two of one record's orders are ever alike.
 KEY_DIGEST_BYTES = 16  # bytes of a key's digest: nobody finds another key with the same one.
+KEY_BYTES = 32  # random bytes of a key that is made here: as many as of a session's secret, beyond guessing.
 SEQUENCE_MOST = 9007199254740991  # highest sequence: 2**53 - 1, which every JSON reader holds exactly.
 
 # --- limits of tenants ---------------------------------------------------
--- a/mothshed/programs/operate.py
+++ b/mothshed/programs/operate.py
@@ -13,6 +13,7 @@
 import mothshed.programs.ask as ask
 import mothshed.programs.logs as logs_module
 import mothshed.programs.operate_configuration as operate_configuration
+import mothshed.programs.operate_keys as operate_keys
 
 
 @cappa.command(name="condition", help="Shows the condition of a router or keeper by its HTTP address.")
@@ -116,7 +117,7 @@
 class Mothshed:
     """All commands."""
 
-    command: cappa.Subcommands[operate_configuration.Config | Condition | Logs | RunBook | Fleet]
+    command: cappa.Subcommands[operate_configuration.Config | operate_keys.Keys | Condition | Logs | RunBook | Fleet]
 
 
 def main():
