Logs tell when each process took up a version, and why no lease ran

What was seen: a log held no line from which one could tell when a router took up a version of the configuration; lease_back gave the length of a time without a lease and not its cause, and the leader told neither who had not staged a version nor that it leased older ones no longer.

Now: version_in_force (router: former version, how long the document waited), version_activated (leader: seconds since it was staged, who lacked it), older_leases_withheld (leader, once a version), and lease_back counts asks, redirections and grants of no length. Tests: test_version_reports.

--- a/mothshed/configuration/lease.py
+++ b/mothshed/configuration/lease.py
@@ -7,12 +7,22 @@
 or None. All of it runs in one mailbox; readers in other threads see one tuple.
 """
 
+import dataclasses
 import typing
 
 import mothshed.constants as constants
 import mothshed.runtime.ring as ring
 
 
+@dataclasses.dataclass
+class AskCounts:
+    """What became of the asks since the lease last ran: tells why none runs."""
+
+    sent: int = 0
+    redirected: int = 0  # the one that was asked does not lead
+    empty_grants: int = 0  # the leader grants no lease of the version held here
+
+
 class Lease:
     def __init__(self, desk, keepers, changed=lambda: None):
         self.desk = desk
@@ -30,6 +40,9 @@
         self.turn = 0
         self.asked_at = -constants.ASK_BEAT  # when it last asked
         self.next_tick = None
+        self.asks = AskCounts()
+        self.staged_at: dict[int, float] = {}  # sequence -> when its document came
+        self.reports = ring.Allowance(constants.VERSION_REPORT_MOST, constants.VERSION_REPORT_RATE)
         for kind in ("grant", "news", "look_elsewhere"):
             desk.hear(kind, getattr(self, "on_" + kind), 0)
         desk.post(self.tick)
@@ -57,6 +70,7 @@
         self.mark += 1
         self.asked[self.mark] = self.asked_at = now
         self.asked.pop(self.mark - 50, None)
+        self.asks.sent += 1
         for goal in [self.leader] if self.leader else self.some_keepers():
             self.desk.tell(goal, "ask", part=0, mark=self.mark, held=self.active, staged=self.staged)
 
@@ -67,6 +81,7 @@
         return [known[(self.turn + n) % len(known)] for n in range(min(constants.ASK_MOST, len(known)))]
 
     def on_look_elsewhere(self, sender, body):
+        self.asks.redirected += 1
         if body["leader"] and body["leader"] != self.leader:
             self.leader = body["leader"]
             self.responded = self.desk.now()
@@ -88,6 +103,8 @@
         if self.active == body["active"] and length > 0:  # a grant of no length says only who leads
             self.note_gap(asked + length)
             self.until = max(self.until, asked + length)
+        else:
+            self.asks.empty_grants += 1
         if 0 < length <= constants.LEASE_SHORT:
             self.renew_soon()
         self.show()
@@ -104,6 +121,7 @@
         was_busy = self.staged > self.active
         for sequence, doc in docs:
             self.docs[sequence] = doc
+            self.staged_at.setdefault(sequence, self.desk.now())
             self.staged = max(self.staged, sequence)
         if self.staged > self.active:
             self.until = min(self.until, self.desk.now() + constants.LEASE_SHORT)
@@ -116,17 +134,28 @@
     def activate(self, sequence):
         if sequence <= self.active or sequence not in self.docs:
             return
-        self.active = sequence
+        former, self.active = self.active, sequence
         for old in [s for s in self.docs if s < sequence]:
             del self.docs[old]
+        self.note_version(former)
         self.renew_soon()  # what is left of a short lease ends soon; the next one may be long
 
+    def note_version(self, former: int) -> None:
+        """Report that another version is in force here, and how long its document waited for that."""
+        staged_s = round(self.desk.now() - self.staged_at[self.active], 3)
+        self.staged_at = {s: at for s, at in self.staged_at.items() if s > self.active}
+        fields = {"sequence": self.active, "former": former, "staged_s": staged_s, "leader": self.leader}
+        ring.report_within(self.reports, "version_in_force", **fields)
+
     def note_gap(self, until: float) -> None:
         """Report how long no lease ran, if this one ends such a time; counted from the start for the first."""
         now = self.desk.now()
         missing = now - max(self.until, self.started)
         if until > now and missing > constants.LEASE_GAP:
-            ring.report("lease_back", missing_s=round(missing, 3), sequence=self.active, leader=self.leader)
+            fields = dataclasses.asdict(self.asks) | {"sequence": self.active, "leader": self.leader}
+            ring.report("lease_back", missing_s=round(missing, 3), **fields)
+        if until > now:
+            self.asks = AskCounts()
 
     def show(self):
         old = self.view[0]
--- a/mothshed/control_plane/config_part.py
+++ b/mothshed/control_plane/config_part.py
@@ -15,6 +15,7 @@
 import mothshed.control_plane.leader_hint as leader_hint
 import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.leaseholder as leaseholder
+import mothshed.runtime.ring as ring
 
 
 class ConfigDuty:
@@ -28,6 +29,8 @@
         self.number = 0
         self.asking = False
         self.lost = {}  # address -> (when, mark): asked here while this was not the leader
+        self.reports = ring.Allowance(constants.VERSION_REPORT_MOST, constants.VERSION_REPORT_RATE)
+        self.withheld = 0  # the newest sequence for which no lease of an older one was granted
         member.duties.append(self)
         self.machine.changed = self.changed
         self.desk.hear("ask", self.on_ask, 0)
@@ -66,11 +69,30 @@
         if kind == "stage":
             self.staged_at[sequence] = self.desk.now()
         else:
+            self.note_activation(sequence)
             self.staged_at = {s: at for s, at in self.staged_at.items() if s > sequence}
         self.push()
         if kind == "stage":
             self.try_activate()
 
+    def note_activation(self, sequence: int) -> None:
+        """Report an activation: how long it took, and how many leaseholders lapsed rather than stage it."""
+        after = self.desk.now() - self.staged_at.get(sequence, math.inf)
+        fields = {"sequence": sequence, "after_s": round(after, 3) if after >= 0 else None}
+        ring.report_within(self.reports, "version_activated", without=self.without(sequence), **fields)
+
+    def without(self, sequence: int) -> list[str]:
+        """A few leaseholders that have not staged a sequence."""
+        lacking = sorted(address for address, holder in self.holders.items() if holder.staged < sequence)
+        return lacking[: constants.NAMED_MOST]
+
+    def note_withheld(self) -> None:
+        """Report, once for each version, that older ones are leased no longer though it is not active."""
+        if self.withheld < self.machine.latest:
+            self.withheld = self.machine.latest
+            fields = {"latest": self.machine.latest, "active": self.machine.active}
+            ring.report_within(self.reports, "older_leases_withheld", without=self.without(self.withheld), **fields)
+
     def push(self):
         self.number += 1
         self.acks[self.number] = set()
@@ -104,6 +126,7 @@
         if machine.latest == machine.active:
             return self.bounds.long_s
         if now > min(self.staged_at.values(), default=-math.inf) + self.bounds.older_s:
+            self.note_withheld()
             return 0.0
         return constants.LEASE_SHORT
 
--- a/mothshed/runtime/ring.py
+++ b/mothshed/runtime/ring.py
@@ -89,6 +89,14 @@
     note(kind, report=True, **fields)
 
 
+def report_within(allowance: Allowance, kind: str, **fields: object) -> None:
+    """Report what an allowance of its own lets through; the rest is kept in memory.
+
+    Many changes of one kind then leave the lines of all other kinds alone.
+    """
+    note(kind, report=allowance.take(time.monotonic()), **fields)
+
+
 def trouble(kind: str, error: BaseException | None = None, **fields: typing.Any) -> None:
     """Keep a failure, and write all that is in memory unless that was done in the last seconds."""
     if error is not None:
--- /dev/null
+++ b/tests/test_version_reports.py
@@ -0,0 +1,85 @@
+"""Logs tell when each process took up a version, and why no lease ran."""
+
+import pytest
+
+import mothshed.configuration.lease as lease_module
+import mothshed.constants as constants
+import mothshed.runtime.ring as ring
+import tests.all_orders as all_orders
+import tests.test_lease_state as lease_state
+
+
+@pytest.fixture
+def written(monkeypatch):
+    """Everything that would be kept or written: its kind and fields."""
+    rows = []
+    monkeypatch.setattr(ring, "note", lambda kind, **fields: rows.append((kind, fields)))
+    return rows
+
+
+def of_kind(rows, kind):
+    return [fields for name, fields in rows if name == kind]
+
+
+def test_a_router_tells_when_it_took_up_a_version(written):
+    pool, duty, _leases = lease_state.deployment(1)
+    duty.machine.apply(0, lease_state.stage(1, 2, "order 1"))
+    pool.deliver(0)  # the document
+    pool.time += 0.07
+    while pool.waiting:
+        pool.deliver(0)
+    taken_up = of_kind(written, "version_in_force")
+    assert [(row["sequence"], row["former"], row["staged_s"]) for row in taken_up] == [(1, 0, 0.0), (2, 1, 0.07)]
+    assert [row["sequence"] for row in of_kind(written, "version_activated")] == [2]
+
+
+def test_a_storm_of_versions_leaves_the_allowance_of_other_reports_alone(written):
+    pool, duty, _leases = lease_state.deployment(1)
+    written.clear()
+    for base in range(1, 60):
+        duty.machine.apply(0, lease_state.stage(base, base + 1, f"order {base}"))
+        while pool.waiting:
+            pool.deliver(0)
+    taken_up = of_kind(written, "version_in_force")
+    assert len(taken_up) == 59
+    assert sum(row["report"] for row in taken_up) <= constants.VERSION_REPORT_MOST + 1
+
+
+def test_the_leader_names_who_had_not_staged_what_it_activates(written):
+    pool, duty, _leases = lease_state.deployment(2)
+    duty.machine.apply(0, lease_state.stage(1, 2, "order 1"))
+    pool.waiting = [row for row in pool.waiting if row[0] != "r:1"]
+    while pool.waiting:
+        pool.deliver(0)
+    pool.time += constants.LEASE_LONG + 2 * constants.LEASE_SLACK
+    duty.try_activate()
+    (row,) = of_kind(written, "version_activated")
+    assert row["sequence"] == 2 and row["without"] == ["r:1"] and row["after_s"] >= constants.LEASE_LONG
+
+
+def test_the_leader_tells_once_that_it_grants_no_older_lease(written):
+    pool, duty, leases = lease_state.deployment(1)
+    duty.machine.apply(0, lease_state.stage(1, 2, "order 1"))
+    pool.waiting.clear()
+    duty.activates_from = pool.time + 100
+    pool.time += duty.bounds.older_s + 0.1
+    for _turn in range(3):
+        leases[0].ask()
+        pool.deliver(0)
+    (row,) = of_kind(written, "older_leases_withheld")
+    assert (row["latest"], row["active"], row["without"]) == (2, 1, ["r:0"])
+
+
+def test_a_lease_that_is_back_tells_what_became_of_the_asks(written):
+    pool = all_orders.Pool()
+    lease = lease_module.Lease(all_orders.HandDesk(pool, "r:1"), lambda: ["a:1"])
+    lease.ask()
+    lease.on_grant("a:1", lease_state.grant(lease, constants.LEASE_LONG, 1, [[1, {"n": 1}]]))
+    pool.time += constants.LEASE_LONG + 1.0
+    lease.ask()
+    lease.on_look_elsewhere("a:1", {"leader": "b:1"})
+    lease.on_grant("b:1", lease_state.grant(lease, 0.0, 1))
+    lease.ask()
+    lease.on_grant("b:1", lease_state.grant(lease, constants.LEASE_LONG, 1))
+    (row,) = of_kind(written, "lease_back")
+    assert (row["sent"], row["redirected"], row["empty_grants"]) == (3, 1, 1)
