A leader that froze after it was sure grants nothing for the time of the freeze

Callers of a tenant could get more than its limit, with no rule of the document broken: a leader found that it leads for sure, was stopped by its machine before it read the clock, and on going on granted by a bucket that had filled meanwhile, beside the grants of its successor. docs/shared.md leans on grants of two leaders never lying beside each other in time (points 2 to 4).

Cause: the time that a bucket is filled to was read after Member.sure. It is read before now, so a grant counts from a moment that sure speaks for; the request had been sent by then, and runs later, so point 1 holds as well. Ruled out: a freeze after the grant (it delays the use of a permit, which counts from its grant), a hand-over (the former leader steps back before it names its successor).

tests/test_permit_duty.py, test_a_leader_that_froze_...: 3 granted for the time of the freeze before, 0 after.

--- a/mothshed/control_plane/permit_duty.py
+++ b/mothshed/control_plane/permit_duty.py
@@ -62,10 +62,11 @@
 
     def on_permit_ask(self, sender: str, body: Body) -> None:
         """Grant what the buckets hold; tenants that the document in force here does not name get no answer yet."""
+        now = self.environment.now()  # read first: what is granted counts from a moment that sure() speaks for
         if not (self.leading and self.member.sure()):
             leader = leader_hint.leader_address(self.member)
             if not leader:
-                self.redirected[sender] = (self.environment.now(), body["mark"])
+                self.redirected[sender] = (now, body["mark"])
             self.redirect(sender, body["mark"], "" if leader == self.environment.address else leader)
             return
         sequence, document = self.lease.current()
@@ -78,17 +79,16 @@
             if row is None:
                 self.journal.add("permit_ask", outcome="unknown_tenant")
                 continue
-            grants[tenant] = self.grant(tenant, row, count)
+            grants[tenant] = self.grant(tenant, row, count, now)
             self.journal.add("permit_ask", outcome="granted" if grants[tenant][0] >= count else "refused")
         self.environment.tell(sender, "permits", part=self.member.part, mark=body["mark"], grants=grants)
 
-    def grant(self, tenant: str, row: dict[str, typing.Any], count: int) -> Grant:
-        """How many of so many requests of a tenant are let through now."""
+    def grant(self, tenant: str, row: dict[str, typing.Any], count: int, now: float) -> Grant:
+        """How many of so many requests of a tenant are let through at this moment."""
         rate = row.get("rate_per_s", 0)
         if not rate:
             self.buckets.pop(tenant, None)
             return count, 0.0
-        now = self.environment.now()
         bucket = self.bucket(tenant, rate, row.get("burst", 0), now)
         taken = bucket.take(count, now)
         return taken, 0.0 if taken >= count else bucket.next_token_s(now)
