--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -39,6 +39,8 @@
 
 
 class Group:
+    machine_class = Recorder
+
     def __init__(self, size, losses):
         self.pool = all_orders.Pool()
         self.bounds = reconfiguration.Bounds(losses, 4.0)
@@ -70,7 +72,7 @@
             f"{name}/{self.marks[name]}",
             "",
             [],
-            Recorder(self.history),
+            self.machine_class(self.history),
             lambda: [self.address(other) for other in self.seats],
             self.bounds,
         )
