All orders of a few messages of the permit protocol: asks, grants, lost ones, a new leader, a restarted router

Permits.enter is what take did before it waits; the orders call it without threads. Checked in each order: no permit goes to a request that came after its ask, no more permits are used than the bucket's bound, and nobody waits for ever.

--- a/mothshed/data_plane/permits.py
+++ b/mothshed/data_plane/permits.py
@@ -70,23 +70,28 @@
         if not row.get("rate_per_s"):
             return
         self.refuse_before_next_token(tenant, sequence)
-        part = parts.part_of(tenant)
-        waiter = Waiter(self.environment.gate())
-        with self.lock:
-            self.sequence = max(self.sequence, sequence)
-            self.parts[part].waiting.setdefault(tenant, collections.deque()).append(waiter)
-            if self.parts[part].unanswered is None:
-                self.ask(part)
+        waiter = self.enter(tenant, sequence)
         try:
             self.wait(waiter, until, caller)
         finally:
-            self.forget(part, tenant, waiter)
+            self.forget(tenant, waiter)
         if waiter.granted:
             return
         if waiter.retry_s is not None:
             raise over_limit(waiter.retry_s)
         raise verdict.Bounce(503, "no permit", constants.PERMIT_RETRY_AFTER, "no_permit")
 
+    def enter(self, tenant: str, sequence: int) -> Waiter:
+        """Let one more request of a tenant wait for a permit, and ask for it unless an ask is under way."""
+        part = parts.part_of(tenant)
+        waiter = Waiter(self.environment.gate())
+        with self.lock:
+            self.sequence = max(self.sequence, sequence)
+            self.parts[part].waiting.setdefault(tenant, collections.deque()).append(waiter)
+            if self.parts[part].unanswered is None:
+                self.ask(part)
+        return waiter
+
     def refuse_before_next_token(self, tenant: str, sequence: int) -> None:
         """Raise Bounce (429) if the tenant was refused by this document and its next token is still to come."""
         known = self.next_tokens.get(tenant)
@@ -107,10 +112,10 @@
                 raise verdict.CallerLeft()
             waiter.gate.wait(min(left, constants.PERMIT_AGAIN))
 
-    def forget(self, part: int, tenant: str, waiter: Waiter) -> None:
+    def forget(self, tenant: str, waiter: Waiter) -> None:
         """The request waits no more."""
         with self.lock:
-            waiting = self.parts[part].waiting
+            waiting = self.parts[parts.part_of(tenant)].waiting
             rows = waiting.get(tenant)
             if rows and waiter in rows:
                 rows.remove(waiter)
--- /dev/null
+++ b/tests/permit_case.py
@@ -0,0 +1,138 @@
+"""A router that waits for permits and two keepers, one of which leads, over messages that are moved by hand."""
+
+import threading
+import types
+
+import mothshed.constants as constants
+import mothshed.control_plane.limit_bounds as limit_bounds
+import mothshed.control_plane.parts as parts
+import mothshed.control_plane.permit_duty as permit_duty
+import mothshed.data_plane.permits as permits
+import mothshed.replicas.leaders as leaders_module
+import mothshed.runtime.journal as journal_module
+import tests.all_orders as all_orders
+
+TENANT = "a"
+PART = parts.part_of(TENANT)
+ROUTER, KEEPERS = "router:1", ("keeper:1", "keeper:2")
+STEP = 0.02  # s; each message takes this long
+BURST = 2
+RATE = 1.0
+
+
+class Environment(all_orders.HandDesk):
+    """A desk whose timers wait among the messages."""
+
+    def gate(self):
+        return threading.Event()
+
+    def beat(self, delay, call):
+        self.pool.waiting.append((self.address, self.address, "timer", {"call": call}))
+
+
+class Seat:
+    """A member of the tenant's part, as the duty sees it."""
+
+    part = PART
+
+    def __init__(self, pool, address):
+        self.desk = Environment(pool, address)
+        self.who, self.leader, self.heard, self.leads = address, "", 0.0, False
+        self.machine, self.duties = types.SimpleNamespace(leader_began=None), []
+
+    def sure(self):
+        return self.leads
+
+    def place_of(self, who):
+        return who
+
+
+class LosingPool(all_orders.Pool):
+    """Loses the messages of the protocol that come first, second, ... as named."""
+
+    def __init__(self, lost):
+        super().__init__()
+        self.lost, self.count = lost, 0
+        self.asked = {}  # mark -> step at which its ask was sent
+        self.answer = None  # mark of the answer that was delivered last
+
+    def deliver(self, at):
+        _goal, _sender, kind, body = self.waiting[at]
+        self.time += STEP
+        self.answer = body.get("mark") if kind == "permits" else None
+        if kind in ("permit_ask", "permits", "look_elsewhere"):
+            self.count += 1
+            if self.count - 1 in self.lost:
+                self.waiting.pop(at)
+                return
+        super().deliver(at)
+
+
+class Case:
+    """What the router's requests were given, checked after each message."""
+
+    def __init__(self, events, lost=()):
+        self.pool = LosingPool(lost)
+        self.requests = []  # (step at which it came, its waiter), of the router's life that runs
+        self.granted = []  # moments
+        self.seen = set()
+        self.seats = {address: Seat(self.pool, address) for address in KEEPERS}
+        self.duties = {address: self.duty(seat) for address, seat in self.seats.items()}
+        self.boot_router()
+        self.lead(KEEPERS[0])
+        self.pool.time += 100.0  # its bucket is full
+        self.pool.ears["script"] = {("event", None): lambda sender, body: getattr(self, body["name"])()}
+        for address in (ROUTER, *KEEPERS):
+            self.pool.ears[address][("timer", None)] = lambda sender, body: body["call"]()
+        self.pool.waiting += [("script", "script", "event", {"name": name}) for name in events]
+
+    def duty(self, seat):
+        lease = types.SimpleNamespace(current=lambda: (1, {"tenants": {TENANT: {"rate_per_s": RATE, "burst": BURST}}}))
+        return permit_duty.PermitDuty(seat, lease, journal_module.Journal(), limit_bounds.LimitBounds())
+
+    def boot_router(self):
+        self.pool.ears[ROUTER] = {("timer", None): lambda sender, body: body["call"]()}
+        self.pool.waiting = [row for row in self.pool.waiting if row[2] != "timer"]
+        environment = Environment(self.pool, ROUTER)
+        leaders = leaders_module.Leaders(environment, lambda: KEEPERS)
+        self.router = permits.Permits(environment, leaders, journal_module.Journal())
+        send = environment.tell
+
+        def note(goal, kind, **body):
+            if kind == "permit_ask":
+                self.pool.asked[body["mark"]] = self.pool.steps
+            send(goal, kind, **body)
+
+        environment.tell = note
+        self.requests = []
+
+    def lead(self, address):
+        for other, seat in self.seats.items():
+            seat.leads, seat.leader, seat.heard = other == address, address, self.pool.time + 1000.0
+            (self.duties[other].start if other == address else self.duties[other].stop)()
+
+    # --- what may happen ---
+    def request(self):
+        self.requests.append((self.pool.steps, self.router.enter(TENANT, 1)))
+
+    def new_leader(self):
+        self.lead(KEEPERS[1])
+
+    def restart(self):
+        self.boot_router()
+
+    # --- what must hold ---
+    def check(self):
+        for came, waiter in self.requests:
+            if waiter.granted and id(waiter) not in self.seen:
+                self.seen.add(id(waiter))
+                self.granted.append(self.pool.time)
+                assert came <= self.pool.asked[self.pool.answer], "a permit whose ask went out before its request came"
+        elapsed = self.pool.time - 200.0
+        allowed = BURST + RATE * elapsed + constants.ROUNDING
+        assert len(self.granted) <= allowed, f"{len(self.granted)} granted, {allowed:.2f} allowed"
+
+    def end(self):
+        for _came, waiter in self.requests:
+            assert waiter.granted or waiter.retry_s is not None, "a request waits for ever"
+        assert not any(asks.waiting for asks in self.router.parts.values())
