What a leader remembers for permits stays bounded: routers without a leader, tenants that are gone

A keeper noted each router that asked it while no leader was known, until it led itself: one that never leads kept every address for its life. Buckets of tenants stayed when the tenants left the documents. Both now end: a note after PERMIT_WAIT_MOST, when it is of no more use, and a bucket under a document that lacks its tenant once it is full. One that is not full stays: dropped at once, a tenant that is taken away and added again would get its burst twice within a window (a test shows that it does not).

tests/test_permit_duty.py: 1,000 addresses noted before, 11 after; 100 buckets before, 2 after.

--- a/mothshed/control_plane/permit_duty.py
+++ b/mothshed/control_plane/permit_duty.py
@@ -32,6 +32,7 @@
         self.started = self.environment.now()
         self.with_credit = False
         self.leading = False
+        self.sequence = 0  # of the document by which buckets were dropped last
         self.redirected: dict[str, tuple[float, int]] = {}  # address -> (when, mark): asked while no leader was known
         member.machine.leader_began = self.leader_began
         member.duties.append(self)
@@ -60,19 +61,27 @@
         """Say who leads, "" if that is not known."""
         self.environment.tell(address, "look_elsewhere", part=self.member.part, mark=mark, leader=leader)
 
+    def note_redirected(self, address: str, mark: int, now: float) -> None:
+        """Remember who is to be told of a new leader, in the order of asking, for as long as that is of use."""
+        self.redirected.pop(address, None)
+        self.redirected[address] = (now, mark)
+        while now - next(iter(self.redirected.values()))[0] > constants.PERMIT_WAIT_MOST:
+            del self.redirected[next(iter(self.redirected))]
+
     def on_permit_ask(self, sender: str, body: Body) -> None:
         """Grant what the buckets hold; tenants that the document in force here does not name get no answer yet."""
         now = self.environment.now()  # read first: what is granted counts from a moment that sure() speaks for
         if not (self.leading and self.member.sure()):
             leader = leader_hint.leader_address(self.member)
             if not leader:
-                self.redirected[sender] = (now, body["mark"])
+                self.note_redirected(sender, body["mark"], now)
             self.redirect(sender, body["mark"], "" if leader == self.environment.address else leader)
             return
         sequence, document = self.lease.current()
         if sequence is None or document is None:
             self.journal.add("permit_ask", outcome="no_lease")
             return
+        self.drop_buckets(sequence, document["tenants"], now)
         grants = {}
         for tenant, count in body["counts"].items():
             row = document["tenants"].get(tenant)
@@ -83,6 +92,18 @@
             self.journal.add("permit_ask", outcome="granted" if grants[tenant][0] >= count else "refused")
         self.environment.tell(sender, "permits", part=self.member.part, mark=body["mark"], grants=grants)
 
+    def drop_buckets(self, sequence: int, tenants: dict[str, typing.Any], now: float) -> None:
+        """Under a newer document, forget those tenants that it lacks whose buckets are full: a new one holds no more.
+
+        A bucket that is not full stays, or a tenant that is taken away and added again would get its burst twice.
+        """
+        if sequence == self.sequence:
+            return
+        self.sequence = sequence
+        for tenant in self.buckets.keys() - tenants.keys():
+            if self.buckets[tenant].is_full(now):
+                del self.buckets[tenant]
+
     def grant(self, tenant: str, row: dict[str, typing.Any], count: int, now: float) -> Grant:
         """How many of so many requests of a tenant are let through at this moment."""
         rate = row.get("rate_per_s", 0)
--- a/mothshed/control_plane/token_bucket.py
+++ b/mothshed/control_plane/token_bucket.py
@@ -36,6 +36,11 @@
         self.level = max(0.0, self.level - taken)
         return taken
 
+    def is_full(self, now: float) -> bool:
+        """Whether it holds as many tokens as it can."""
+        self.fill(now)
+        return self.level >= self.capacity
+
     def next_token_s(self, now: float) -> float:
         """Seconds until a whole token is there; 0 if one is."""
         self.fill(now)
--- a/tests/test_permit_duty.py
+++ b/tests/test_permit_duty.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+import mothshed.constants as constants
 import mothshed.control_plane.limit_bounds as limit_bounds
 import mothshed.control_plane.permit_duty as permit_duty
 import mothshed.runtime.journal as journal_module
@@ -36,10 +37,14 @@
     def __init__(self):
         self.pool = all_orders.Pool()
         self.seat = Seat(self.pool)
-        self.tenants = {"a": ROW}
-        lease = types.SimpleNamespace(current=lambda: (1, {"tenants": self.tenants}))
+        self.sequence, self.tenants = 1, {"a": ROW}
+        lease = types.SimpleNamespace(current=lambda: (self.sequence, {"tenants": self.tenants}))
         self.duty = permit_duty.PermitDuty(self.seat, lease, journal_module.Journal(), limit_bounds.LimitBounds())
 
+    def put(self, **tenants):
+        """A newer document with these tenants."""
+        self.sequence, self.tenants = self.sequence + 1, tenants
+
     def ask(self, count, tenant="a", address="router:1"):
         """What a router is granted, None if it is told of no grant."""
         self.duty.on_permit_ask(address, {"mark": 1, "sequence": 1, "counts": {tenant: count}})
@@ -73,3 +78,31 @@
     case.pool.time += 100.0
     case.seat.is_sure = False
     assert case.ask(9) is None
+
+
+def test_routers_that_asked_without_a_leader_are_remembered_for_as_long_as_that_is_of_use():
+    found = Case()
+    for number in range(1000):
+        found.pool.time += constants.PERMIT_WAIT_MOST / 10
+        found.ask(1, address=f"router:{number}")
+    assert len(found.duty.redirected) <= 11
+    found.duty.start()
+    told = {goal for goal, _sender, kind, _body in found.pool.waiting if kind == "look_elsewhere"}
+    assert "router:999" in told and "router:985" not in told
+
+
+def test_the_bucket_of_a_tenant_that_is_gone_is_forgotten_once_it_is_full(case):
+    for number in range(100):
+        case.put(a=ROW, **{f"t{number}": ROW})
+        case.ask(1, tenant=f"t{number}")
+        case.pool.time += 10.0
+    assert len(case.duty.buckets) <= 2
+
+
+def test_a_tenant_that_is_taken_away_and_added_again_does_not_get_its_burst_twice(case):
+    case.pool.time += 100.0
+    assert case.ask(9) == CAPACITY
+    case.put(b=ROW)
+    case.ask(1, tenant="b")
+    case.put(a=ROW, b=ROW)
+    assert case.ask(9) == 0
