Limits over the simulated fleet: keepers and routers die and come back while a tenant is far over its limit

Windows of 0.5, 1 and 5 s never hold more permits that were asked for and given within them than the limit allows, also while leaders die in turn, all keepers or three of four routers; a tenant at 0.9 of its limit whose load moves between routers is not refused once in 1,080 requests.

--- /dev/null
+++ b/tests/permit_fleet.py
@@ -0,0 +1,72 @@
+"""A simulated fleet whose routers take permits of one tenant, and what they were given."""
+
+import dataclasses
+
+import mothshed.constants as constants
+import mothshed.control_plane.parts as parts
+import mothshed.replicas.verdict as verdict
+import tools.fleet as real_fleet
+import tools.simulator.fleet as sim
+
+TENANT = "dispatch"
+PART = parts.part_of(TENANT)
+PATIENCE = 2.0  # s; how long a request waits for its permit
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """How one request fared: 200 with a permit, or the status of its refusal."""
+
+    came: float
+    until: float
+    status: int
+
+
+class PermitFleet:
+    """rate, burst: the tenant's limit. Keepers go by a window of 1 s and no excess."""
+
+    def __init__(self, seed, rate, burst, routers):
+        self.fleet = sim.SimFleet(seed, routers=routers, replicas=2)
+        self.rate, self.burst, self.rows = rate, burst, []
+        body = real_fleet.document(self.fleet.deployment, note="first")
+        body["tenants"][TENANT].update(rate_per_s=rate, burst=burst)
+        self.fleet.ready(body=body)
+        self.fleet.run(constants.PERMIT_WAIT_MOST + burst / rate)  # the bucket is full
+
+    def request(self, router):
+        """One request comes to this router now, if it runs."""
+        machine = self.fleet.machines[router]
+        if machine.alive:
+            self.fleet.loop.spawn(machine, lambda: self.take(router))
+
+    def take(self, router):
+        loop, part = self.fleet.loop, self.fleet.parts[router]
+        came, now = loop.time, part.desk.now()
+        sequence, document = part.lease.current()
+        if sequence is None:
+            return
+        status = 200
+        try:
+            part.permits.take(TENANT, document["tenants"][TENANT], sequence, now + PATIENCE)
+        except verdict.Bounce as bounce:
+            status = bounce.status
+        self.rows.append(Taken(came, loop.time, status))
+
+    def load(self, rate, seconds):
+        """So many requests a second, evenly spaced, each at a router that is drawn."""
+        names = self.fleet.names("route")
+        for number in range(int(rate * seconds)):
+            name = self.fleet.random.choice(names)
+            self.fleet.later(number / rate, lambda name=name: self.request(name))
+
+    def count(self, status):
+        return sum(row.status == status for row in self.rows)
+
+    def most_over(self, window_s):
+        """By how many requests the worst window exceeds the limit: those both sent and given their permit in it."""
+        given = [row for row in self.rows if row.status == 200]
+        allowed = self.rate * window_s + self.burst
+        return max(
+            sum(one.came >= first.came and one.until <= first.came + window_s for one in given) - allowed
+            for first in given
+        )
--- /dev/null
+++ b/tests/test_permit_days.py
@@ -0,0 +1,46 @@
+"""Limits over a simulated fleet whose keepers and routers die, freeze and come back: held, and refused no sooner."""
+
+import pytest
+
+import tests.permit_fleet as permit_fleet
+
+RATE, BURST = 20.0, 20.0
+WINDOWS_S = (0.5, 1.0, 5.0)
+
+
+def troubled(found, trouble):
+    """Let the trouble come in the middle of the load."""
+    fleet = found.fleet
+    leader = fleet.leader(permit_fleet.PART)
+    if trouble == "leader dies":
+        fleet.later(2.0, lambda: fleet.kill(leader))
+        fleet.later(5.0, lambda: fleet.start(leader))
+    if trouble == "leaders die in turn":
+        for at in (2.0, 5.0, 8.0):
+            fleet.later(at, lambda: fleet.kill(fleet.leader(permit_fleet.PART) or leader))
+            fleet.later(at + 2.0, lambda: [fleet.start(name) for name in fleet.names("keep")])
+    if trouble == "all keepers die":
+        fleet.later(2.0, lambda: [fleet.kill(name) for name in fleet.names("keep")])
+        fleet.later(3.0, lambda: [fleet.start(name) for name in fleet.names("keep")])
+    if trouble == "routers die":
+        for name in fleet.names("route")[1:]:
+            fleet.later(3.0, lambda name=name: fleet.kill(name))
+            fleet.later(4.0, lambda name=name: fleet.start(name))
+
+
+@pytest.mark.parametrize("trouble", ["none", "leader dies", "leaders die in turn", "all keepers die", "routers die"])
+def test_a_tenant_far_over_its_limit_never_exceeds_it(trouble):
+    found = permit_fleet.PermitFleet(f"limit-{trouble}", RATE, BURST, routers=4)
+    troubled(found, trouble)
+    found.load(8 * RATE, 10.0)
+    found.fleet.run(10.0 + permit_fleet.PATIENCE)
+    assert max(found.most_over(window_s) for window_s in WINDOWS_S) <= 0
+    assert found.count(200) > 4 * RATE and found.count(429) > 0
+
+
+def test_a_tenant_below_its_limit_is_not_refused_while_its_load_moves_between_routers():
+    rate = 2 * RATE
+    found = permit_fleet.PermitFleet("below", rate, BURST, routers=8)
+    found.load(0.9 * rate, 30.0)
+    found.fleet.run(30.0 + permit_fleet.PATIENCE)
+    assert found.count(200) == len(found.rows) >= 1000
