A request reads its document and that document's sequence in one step

Callers saw 502 ("internal fault") for a request that was placed in the moment in which a newer configuration came into force: try_place read the lease's sequence and then its document, in two calls. Another thread could take up the next document in between; the route was then matched by the table of the older one and its pool looked up in the newer one, where it may be gone (KeyError).

Cause: Lease.sequence() and Lease.document() are each of one moment, not both of the same one. Lease.current() is, and stands in both ways in now (place_wait, route_front; carry, sends).

Ruled out: a send to the old service.

--- a/mothshed/data_plane/carry.py
+++ b/mothshed/data_plane/carry.py
@@ -107,7 +107,7 @@
 
         def make_plan():
             self.stop_if_caller_left()
-            sequence, document = router.lease.sequence(), router.lease.document()
+            sequence, document = router.lease.current()
             if sequence is None or router.held_waiting:  # held handles come before new prompts
                 return None
             plan = planning.make(router.replicas, sequence, document, request, router.cell, self.without)
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -54,7 +54,7 @@
 
     def try_place(self, alone: bool) -> pair_module.Pair | NoPlace:
         """A pair of places under the lease that runs now, if any; raises Bounce without a route or a known key."""
-        sequence, document = self.router.lease.sequence(), self.router.lease.document()
+        sequence, document = self.router.lease.current()
         if sequence is None:
             return NoPlace("no lease", constants.BOUNCE_LEASE)
         table = self.router.tables.of(sequence, document)
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -102,7 +102,7 @@
             self.desk.pause(constants.PLACE_BEAT)
         if caller.has_left():
             raise verdict.CallerLeft()
-        sequence, document = router.lease.sequence(), router.lease.document()
+        sequence, document = router.lease.current()
         if sequence is None or document is None:
             raise verdict.Bounce(503, "no configuration in force", constants.BOUNCE_LEASE, "no_lease")
         table = router.tables.of(sequence, document)
--- a/mothshed/data_plane/sends.py
+++ b/mothshed/data_plane/sends.py
@@ -24,9 +24,9 @@
         until = min(self.request.cutoff, self.desk.now() + constants.LEASE_WAIT)
         while True:
             self.stop_if_caller_left()
-            sequence = self.router.lease.sequence()
+            sequence, document = self.router.lease.current()
             if sequence is not None:
-                return sequence, self.router.lease.document()
+                return sequence, document
             if self.desk.now() >= until:
                 raise verdict.SendFailure(NOT_RUN, "no lease")
             self.desk.pause(constants.PLACE_BEAT)
