A pair whose writer leaves gets another one of the pool that it was made for

If the pool's selector had changed there, the pair got a writer of another service. The last check refuses that under the changed document, but not if a third one has undone the change by then: the selector is the one of the plan again, and the decode goes to the other service.

The selector of the plan is used now; a pool that has gone is left to the last check, as it was for the reader.

Test: test_route_a_pair_gets_no_writer_of_another_service_when_its_pool_changes_hands. Its first form, which handed the changed document over, failed with the guard taken out; without a document there is nothing left to look up.

--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -61,7 +61,7 @@
         """Another writer for the handle when the pair's began to leave while the prompt was read."""
         pair = self.pair
         if not self.staying(pair.writer):
-            self.router.placing.change_writer(pair, self.router.lease.document(), self.without)
+            self.router.placing.change_writer(pair, self.selector, self.without)
 
     def plan_is_current(self) -> bool:
         """Whether a lease runs under which this request still goes to the pool of its pair, and from the same tenant.
--- a/mothshed/data_plane/placing.py
+++ b/mothshed/data_plane/placing.py
@@ -206,14 +206,11 @@
             return self.take(sequence, pool, ask, reader, writer, unread, expected)
 
     def change_writer(
-        self, pair: pair_module.Pair, document: Document | None, without: collections.abc.Container[str] = ()
+        self, pair: pair_module.Pair, selector: dict[str, str], without: collections.abc.Container[str] = ()
     ) -> None:
-        """Moves a pair to another usable writer of its pool; leaves it as it is where there is none."""
-        row = (document or {"pools": {}})["pools"].get(pair.pool)
-        if row is None:
-            return
+        """Moves a pair with a reader to another usable writer of the pool that it was made for, if there is one."""
         with self.lock, self.replicas.lock:
-            writers = self.replicas.usable(row["selector"], pools.serving_role(row))
+            writers = self.replicas.usable(selector, "decode")
             writers = [name for name in writers if name not in without] or list(writers)
             if not writers:
                 return
--- a/tests/test_delivery_placing.py
+++ b/tests/test_delivery_placing.py
@@ -202,3 +202,16 @@
     }
     pool.time += constants.USAGE_LIFE
     assert duty.sums() == {}
+
+
+def test_route_a_pair_gets_no_writer_of_another_service_when_its_pool_changes_hands():
+    """Were it given one, a third document that undoes the change would let the decode go there."""
+    found, _pool = placed(["p1", "d1", "d2"])
+    pair = found.pair(1, DOCUMENT, "main", ask())
+    selector, writer = DOCUMENT["pools"]["main"]["selector"], pair.writer.name
+    found.replicas.rows["d9"] = {**found.replicas.rows["d1"], "labels": {"service": "other"}}
+    found.replicas.conditions["d9"] = found.replicas.conditions["d1"]
+    found.change_writer(pair, selector, {writer})
+    assert {pair.writer.name, writer} == {"d1", "d2"}
+    found.change_writer(pair, selector, {"d1", "d2"})
+    assert pair.writer.name in {"d1", "d2"}
