An ask for permits is made anew only after the time that answers usually take

Callers below their limit were refused with 429 where a round trip to the leader is longer than 60 ms: routers asked anew after that time whatever the distance, the leader counted the same requests again, and the second permits came to nobody. A leader that answers late because it is busy has the same effect.

Each router now keeps the longest answer time of late, a part each, and asks anew after twice that, 60 ms at least and 0.4 s at most, so that a leader that is gone is still found out. Giving the second permits to other requests was ruled out: it would break the argument of docs/shared.md, a permit never goes to a request that came after its ask.

--- a/mothshed/data_plane/permits.py
+++ b/mothshed/data_plane/permits.py
@@ -35,6 +35,16 @@
     waiting: dict[str, collections.deque[Waiter]] = dataclasses.field(default_factory=dict)  # by tenant
     asked_at: dict[int, float] = dataclasses.field(default_factory=dict)  # mark -> when
     unanswered: int | None = None  # mark of the ask under way
+    answer_s: float = 0.0  # how long answers take: the longest lately
+
+    def note_answer(self, took_s: float) -> None:
+        """An answer took this long."""
+        self.answer_s = max(took_s, self.answer_s * constants.PERMIT_ANSWER_FADES)
+
+    def again_s(self) -> float:
+        """After how long an ask is made anew. Sooner than answers come, requests would be counted twice."""
+        usual_s = constants.PERMIT_AGAIN_ANSWERS * self.answer_s
+        return min(constants.PERMIT_AGAIN_MOST, max(constants.PERMIT_AGAIN, usual_s))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,7 +149,7 @@
         counts = {tenant: len(rows) for tenant, rows in asks.waiting.items()}
         goal = self.leaders.ask(part)
         self.environment.tell(goal, "permit_ask", part=part, mark=self.mark, sequence=self.sequence, counts=counts)
-        self.environment.beat(constants.PERMIT_AGAIN, lambda mark=self.mark: self.ask_again(part, mark))
+        self.environment.beat(asks.again_s(), lambda mark=self.mark: self.ask_again(part, mark))
 
     def ask_again(self, part: int, mark: int) -> None:
         """Nobody has answered an ask: it is made anew, perhaps elsewhere."""
@@ -163,6 +173,7 @@
             asked_at = asks.asked_at.pop(mark, None)
             if asked_at is None:
                 return
+            asks.note_answer(self.environment.now() - asked_at)
             for tenant, (count, wait_s) in body["grants"].items():
                 self.hand_out(asks, tenant, mark, count, wait_s)
                 if wait_s > 0:
