--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -61,9 +61,7 @@
 
 # --- limits of tenants ---------------------------------------------------
 PERMIT_AGAIN = 0.06  # s; an ask for permits that nobody answered is made anew: some round trips between zones.
-PERMIT_AGAIN_ANSWERS = (
-    2  # an ask is made anew after this many times the time that answers took lately, if that is more.
-)
+PERMIT_AGAIN_ANSWERS = 2  # times; an ask is made anew after this many of the time that answers took lately.
 PERMIT_AGAIN_MOST = 0.4  # s; nor later than this: most of an election, so that a leader that is gone is found out.
 PERMIT_ANSWER_FADES = 0.9  # ratio; a long answer time counts this much less at each answer after it.
 PERMIT_WAIT_MOST = 1.0  # s; who asked a member that knew no leader is told of a new one for this long: an election.
