--- a/tests/test_first_list.py
+++ b/tests/test_first_list.py
@@ -1,10 +1,12 @@
 """A process that has no list of replicas yet finds the one that reads it for all, without waiting a whole interval."""
 
+import contextlib
 import types
 
 import pytest
 
 import mothshed.constants as constants
+import mothshed.http.web as web
 import mothshed.replicas.listed as listed
 import mothshed.runtime.journal as journal
 import tests.all_orders as all_orders
@@ -55,3 +57,36 @@
         waited += process.desk.delay
         process.pool.time += process.desk.delay
     assert waited <= 0.5
+
+
+class LateList:
+    """A list that answers after LIST_TIME without a word, so many times, and then at once."""
+
+    def __init__(self, pool, silent, fault):
+        self.pool, self.silent, self.fault = pool, silent, fault
+
+    def rows(self, desk, url):
+        if self.silent:
+            self.silent -= 1
+            self.pool.time += constants.LIST_TIME
+            raise self.fault
+        return {"d1": {**ROW, "role": "decode", "slots": 8}}
+
+
+@pytest.mark.parametrize("fault", [web.WebFault("timed out", True), RuntimeError("no thread can be started")])
+@pytest.mark.parametrize("silent", [0, 1, 3])
+def test_a_process_that_nobody_tells_the_list_reads_it_until_it_answers(process, silent, fault):
+    """The first reading is due within two spans of silence, each further one within an interval of asking."""
+    reads = []
+    process.desk.spawn = reads.append
+    process.listed.speech = LateList(process.pool, silent, fault)
+    interval = 1.1 * constants.LIST_ASK_FIRST
+    bound = 2 * constants.LIST_SILENT + silent * (constants.LIST_TIME + constants.LIST_ASK + interval) + 2 * interval
+    end = process.pool.time + bound
+    while not process.listed.rows:
+        assert process.pool.time <= end
+        process.listed.tick()
+        process.pool.time += process.desk.delay
+        while reads:
+            with contextlib.suppress(RuntimeError):  # a task that fails is noted, nothing more
+                reads.pop()()
