A tenant's urgency, or else its route's, is sent to replicas before the rank of the reading

It sends RANKS x min(urgency, 2) + rank now where tenants have keys, and the rank alone elsewhere, as before. The pair that a request waits for is looked for anew under each document, so a changed urgency counts for what waits.

Tests: tests/test_tenant_keys.py, four of six new cases failed before.

--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -176,6 +176,7 @@
 KEPT_CONNECT = 0.3  # s; connecting to a replica; past it another one is tried.
 KEPT_SILENT = 2.0  # s; a connection unacknowledged for this long is dead.
 URGENCY_USUAL = 5  # rank, 0 first; of a request whose route and tenant name none.
+URGENCY_LEVELS = 3  # urgencies told apart at replicas, of RANKS values each: the field has ten values.
 PLACE_SHARE = 0.2  # share of the aim that a request waits for a place: below the quarter that counts as held.
 PLACE_LEAST = 0.1  # s; shortest such wait, for routes with a short or no aim.
 PLACE_USUAL = 0.3  # s; such a wait where a route names no aim.
--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -13,6 +13,7 @@
 
 import mothshed.constants as constants
 import mothshed.data_plane.delivery_sends as delivery_sends
+import mothshed.data_plane.identity as identity
 import mothshed.data_plane.pair as pair_module
 import mothshed.data_plane.pauses as pauses_module
 import mothshed.data_plane.place_wait as place_wait
@@ -154,7 +155,7 @@
                 self.patience_first(),
                 self.check("decode"),
                 self.last,
-                0 if self.handle else pair.rank,
+                identity.urgency_for_replica(self.ask.urgency, 0 if self.handle else pair.rank),
                 not self.again,
             )
         except verdict.SendFailure as e:
--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -120,8 +120,9 @@
         read = min(max(constants.READ_FACTOR * pair.expected, constants.READ_LEAST), constants.READ_MOST, self.left())
         try:
             self.may_send("prefill")
+            urgency = identity.urgency_for_replica(self.ask.urgency, pair.rank)
             handle = self.speech.prefill(
-                self.desk, self.ask, pair.reader, self.left(), read, self.check("prefill"), pair.rank
+                self.desk, self.ask, pair.reader, self.left(), read, self.check("prefill"), urgency
             )
         except verdict.SendFailure as e:
             if e.reason == web.NOT_READY or self.over:
--- a/mothshed/data_plane/identity.py
+++ b/mothshed/data_plane/identity.py
@@ -54,3 +54,16 @@
     """The urgency of a request, 0 first: its tenant's, or else its route's."""
     tenant = document["tenants"].get(identity.tenant, {}) if identity else {}
     return int(tenant.get("urgency", route.get("urgency", constants.URGENCY_USUAL)))
+
+
+def urgency_for_replica(urgency_of_request: int | None, rank: int) -> int:
+    """The urgency that is sent to a replica, 0 first: the request's own, and among equal ones the rank of its reading.
+
+    urgency_of_request: None where no tenants are known; the rank alone is sent then.
+
+    >>> [urgency_for_replica(None, 2), urgency_for_replica(0, 2), urgency_for_replica(1, 0), urgency_for_replica(9, 2)]
+    [2, 2, 3, 8]
+    """
+    if urgency_of_request is None:
+        return rank
+    return min(urgency_of_request, constants.URGENCY_LEVELS - 1) * constants.RANKS + rank
--- a/mothshed/data_plane/place_wait.py
+++ b/mothshed/data_plane/place_wait.py
@@ -62,7 +62,8 @@
         if route is None:
             raise verdict.Bounce(404, "no route")
         self.route = route
-        self.ask.identity = identity.identify(document, table.keys, route, self.ask.key_digest)
+        known = self.ask.identity = identity.identify(document, table.keys, route, self.ask.key_digest)
+        self.ask.urgency = identity.urgency(document, route, known) if known else None
         if self.lacks_permit():
             return NoPlace("no permit", constants.PERMIT_RETRY_AFTER)
         pool = routes.pool_of(route, self.desk.random)
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -56,6 +56,7 @@
     key_digest: str | None = None  # of the API key that came with it
     identity: identity_module.Identity | None = None  # who it comes from; None where no key is asked for
     identity_headers: dict = dataclasses.field(default_factory=dict, repr=False)  # passed on where no key is asked for
+    urgency: int | None = None  # its tenant's or else its route's, 0 first; None where no key is asked for
     patience: float = 0.0  # s it waits for a place
     caller: caller_module.Caller = dataclasses.field(default_factory=caller_module.Caller)
 
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -69,3 +69,25 @@
     assert site.ask(host, headers=bearer(KEY))[1].status == 401
     assert len(all_sends(replicas)) == served
     assert site.ask(host, headers=bearer(OTHER_KEY))[1].status == 200
+
+
+@pytest.mark.parametrize("urgency, sent", [(0, ["0", "0"]), (1, ["3", "3"]), (2, ["6", "6"]), (9, ["6", "6"])])
+def test_the_urgency_of_a_tenant_comes_before_the_rank_of_the_reading(site, urgency, sent):
+    host, (reader, writer) = site.service("pd", urgency=5)
+    site.lease.change(senders=[{**TENANTS[0], "urgency": urgency}, TENANTS[1]])
+    site.ask(host, headers=bearer(KEY))
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == sent
+
+
+def test_the_urgency_of_the_route_counts_where_the_tenant_has_none(site):
+    host, (reader, writer) = site.service("pd", urgency=1)
+    site.lease.change(senders=[{"name": "kaje80", "permits": [KEY]}])
+    site.ask(host, headers=bearer(KEY))
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == ["3", "3"]
+
+
+def test_without_tenants_only_the_rank_of_the_reading_is_told(site):
+    site.lease.said.pop("senders")
+    host, (reader, writer) = site.service("pd", urgency=1)
+    site.ask(host)
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == ["0", "0"]
