A caller with a key cannot make itself more urgent than its tenant is

A caller's own Urgency field was passed on and stood in place of ours, so that any tenant could pass all others at the replicas.

Test: test_a_caller_with_a_key_cannot_make_itself_more_urgent_than_its_tenant, "0" sent on before.

--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -91,3 +91,9 @@
     host, (reader, writer) = site.service("pd", urgency=1)
     site.ask(host)
     assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == ["0", "0"]
+
+
+def test_a_caller_with_a_key_cannot_make_itself_more_urgent_than_its_tenant(site):
+    host, (reader, writer) = site.service("pd")
+    site.ask(host, headers=[*bearer(KEY), ("Urgency", "0")])
+    assert [replica.asked[0].all("Urgency") for replica in (reader, writer)] == [["3"], ["3"]]
