--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -78,3 +78,31 @@
     told = [request.all("Urgency") for request in all_sends(replicas)]
     assert answer.status == 200 and len(told) == len(legs)
     assert all(len(rows) == 1 and rows != ["7"] for rows in told)
+
+
+@pytest.mark.parametrize("urgency, sent", [(0, ["0", "0"]), (1, ["3", "3"]), (2, ["6", "6"]), (9, ["6", "6"])])
+def test_the_urgency_of_a_tenant_comes_before_the_rank_of_the_reading(site, urgency, sent):
+    host, (reader, writer) = site.service("pd", urgency=5)
+    site.lease.change(senders=[{**TENANTS[0], "urgency": urgency}, TENANTS[1]])
+    site.ask(host, headers=bearer(KEY))
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == sent
+
+
+def test_the_urgency_of_the_route_counts_where_the_tenant_has_none(site):
+    host, (reader, writer) = site.service("pd", urgency=1)
+    site.lease.change(senders=[{"name": "kaje80", "permits": [KEY]}])
+    site.ask(host, headers=bearer(KEY))
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == ["3", "3"]
+
+
+def test_without_tenants_only_the_rank_of_the_reading_is_told(site):
+    site.lease.said.pop("senders")
+    host, (reader, writer) = site.service("pd", urgency=1)
+    site.ask(host)
+    assert [replica.asked[0].get("Urgency") for replica in (reader, writer)] == ["0", "0"]
+
+
+def test_a_caller_with_a_key_cannot_make_itself_more_urgent_than_its_tenant(site):
+    host, (reader, writer) = site.service("pd")
+    site.ask(host, headers=[*bearer(KEY), ("Urgency", "0")])
+    assert [replica.asked[0].all("Urgency") for replica in (reader, writer)] == [["3"], ["3"]]
