--- a/tests/test_key_secrecy.py
+++ b/tests/test_key_secrecy.py
@@ -245,7 +245,6 @@
 
 def test_on_disk_a_key_stands_in_its_operators_own_text_only(door):
     assert door.put(platform_door.document(3, senders=TENANTS), 0).status == 200
-    machine = door.keeper.members[0].machine
-    stored = machine.docs[3]["doc"]
+    stored = door.keeper.members[0].machine.docs[3]["doc"]
     assert MARK in repr(stored["as_sent"])
     assert MARK not in repr({key: value for key, value in stored.items() if key != "as_sent"})
