--- a/mothshed/data_plane/deliver.py
+++ b/mothshed/data_plane/deliver.py
@@ -9,6 +9,7 @@
 on unchanged when nothing better is left.
 """
 
+import itertools
 import typing
 
 import mothshed.constants as constants
@@ -237,7 +238,7 @@
                 reply, first, number, rows = self.once()
                 if reply.status != 200:
                     break
-                return self.joined(first, number, rows)
+                return itertools.chain([(first, number)], rows)
             except verdict.SendFailure as e:
                 if e.reason == web.NOT_READY:
                     self.let_go()
@@ -246,7 +247,3 @@
             except verdict.Bounce:
                 break
         raise verdict.StreamBroken(str(self.fails[-1]) if self.fails else "stream broke")
-
-    def joined(self, first, number, rows):
-        yield first, number
-        yield from rows
