Constants of records and connections stand with them; a name that stood twice is two names

The two are CACHE_KEYS_MOST and REPORT_MOST now; a test refuses a name that stands twice. Two names of the former house style go. The stand-in speech of the hollow trials names the two kinds of fields that adapters name.

--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -1,4 +1,4 @@
-"""All constants of mothshed, each with its unit and its reason.
+"""Constants of mothshed, each with its unit and its reason; those of records and connections stand in transport.
 
 Nothing else in the tree holds a tunable number. The timing argument that ties the lease, vote and
 activation figures together is in docs/configuration.md; change one of them only together with that page.
@@ -93,12 +93,7 @@
 ORDER_TIME = 1.0  # s; longest wait for a replica to take an order.
 
 # --- membership and hints ------------------------------------------------
-VIEW_MOST = 12  # neighbours in a partial view; log2 of 200 nodes and some slack.
-SHUFFLE_MOST = 6  # neighbours swapped in one shuffle: half a view.
-SHUFFLE_BEAT = 0.5  # s; one shuffle per node and beat.
 HINT_LIFE = 6.0  # s; a hint about usage or keepers older than this is dropped.
-VIEW_AGE_MOST = 24  # shuffles; a neighbour unseen for this many is forgotten.
-HINTS_MOST = 64  # hints in one record; bounds its size.
 LIST_BEAT = 0.5  # s; the platform list is read this often (brief: 3 s to obey).
 LIST_ASK = 0.7  # s; a process asks the list's reader this often; its news comes unasked as well.
 LIST_ASK_FIRST = 0.15  # s; the same while it has no list at all: two asks find the reader by way of any keeper.
@@ -109,11 +104,6 @@
 LIST_TIME = 1.0  # s; longest wait for the list.
 LIST_TRIED = 2.0  # s; nothing is placed if the list was not asked for this long: beat, wait and slack.
 LEAVE_KEEP = 5.0  # s; a neighbour's reading that shows a replica leaving outlasts an own one this much.
-CALL_SILENT = 3.0  # s; a keeper calls a remembered address unheard of for longer: six shuffles.
-CALL_MOST = 12  # addresses called in one shuffle's beat.
-REMEMBER_BEAT = 5.0  # s; remembered addresses are written at most this often.
-REMEMBER_MOST = 1000  # addresses remembered; five times the largest fleet tried.
-REMEMBER_LIFE = 86400.0  # s; an address silent for a day is forgotten.
 PROBE_BEAT = 0.5  # s; a replica's condition older than this is read again.
 PROBE_TIME = 0.6  # s; longest wait for a condition.
 PROBES_SILENT = 2  # failed probes in a row that put a replica in doubt.
@@ -136,6 +126,7 @@
 FRONT_STEP = 24  # threads that a front starts at once: at first, and whenever few are idle.
 FRONT_SPARE = 12  # idle threads below which it starts more.
 FRONT_REST = 10.0  # s; with this many and a step more idle for so long, a step of them ends: longer than most bursts.
+READ_BYTES = 65536  # bytes read from a connection at once.
 READ_TIME = 4.0  # s; a request must have come whole by then.
 READ_CROWDED = 0.5  # s; the same while no thread is free.
 CALLER_LEFT = 0.5  # s after its caller has left; work for a request beyond it is counted.
@@ -151,7 +142,7 @@
 
 CACHE_BLOCK = 256  # characters of prompt per cache key, as replicas report them.
 KEYS_MOST = 32  # keys per prompt; eight thousand characters of shared prefix.
-REPORT_MOST = 192  # most recent keys of a replica's cache that are kept and passed on.
+CACHE_KEYS_MOST = 192  # most recent keys of a replica's cache that are kept and passed on.
 CACHE_WEIGHT = 0.6  # slots' worth of usage that a fully cached prompt outweighs.
 
 # --- operators' questions ------------------------------------------------
@@ -251,17 +242,6 @@
 VERSION_REPORT_RATE = 0.5  # lines/s; those beyond stay in memory: a storm has 17 changes a second.
 COUNTERS_INTERVAL = 5.0  # s; a process reports its counters this often, if they changed.
 JOURNAL_MOST = 4096  # events kept in a journal after they are folded.
-RECORD_MOST = 8388608  # bytes; a longer peer record closes the connection.
-RECORDS_RELEASE = 2  # number of the records' table; raised with each field or kind that is added to it.
-PEER_FORMER = 10.0  # s; a peer that closed at our hello is spoken to as the release before the rule for that long.
-PEER_QUEUE = 512  # records waiting for one peer; more are dropped, peers ask again.
-PEER_CONNECT = 0.5  # s; connecting to a peer.
-PEER_SILENT = 3.0  # s; a connection unacknowledged for this long is ended and made anew.
-PEER_RETRY = 0.2  # s; pause after a failed connect.
-PEER_IDLE = 8.0  # s; a connection unused both ways for longer is closed: a view's neighbours are met every 6 s.
-PEER_LOOK = 0.5  # s; connections are looked over this often.
-PEER_BACKLOG = 256  # connections that wait to be accepted: every router turns to a new leader at once.
-READ_BYTES = 65536  # bytes read from a connection at once.
 HTTP_POOL = 64  # kept connections per back end for probes and lists.
 READY_THREADS = 2  # threads of the front that says ready; one caller asks once a second.
 KEPT_CALLERS = 1000  # idle connections of user agents a front keeps open.
--- a/mothshed/replicas/replica_adapter.py
+++ b/mothshed/replicas/replica_adapter.py
@@ -230,7 +230,7 @@
             "run": int(said["running"]),
             "wait": int(said["waiting"]),
             "slots": int(said["slots"]),
-            "keys": [str(k) for k in said["cache"]][-constants.REPORT_MOST :],
+            "keys": [str(k) for k in said["cache"]][-constants.CACHE_KEYS_MOST :],
             "standing": int(said["standing"]),
         }
     except (KeyError, TypeError, ValueError) as e:
--- a/mothshed/transport/gossip.py
+++ b/mothshed/transport/gossip.py
@@ -8,6 +8,7 @@
 """
 
 import mothshed.constants as constants
+import mothshed.transport.constants as transport_constants
 
 
 class Gossip:
@@ -36,7 +37,7 @@
         if self.memory:
             for goal in self.memory.to_call(set(self.view)):
                 self.greet(goal)
-        self.desk.beat(constants.SHUFFLE_BEAT * (0.8 + 0.4 * self.desk.random.random()), self.tick)
+        self.desk.beat(transport_constants.SHUFFLE_INTERVAL * (0.8 + 0.4 * self.desk.random.random()), self.tick)
 
     def shuffle(self):
         self.rounds += 1
@@ -45,7 +46,7 @@
             self.waiting = None
         for row in self.view.values():
             row["age"] += 1
-        for address in [a for a, r in self.view.items() if r["age"] > constants.VIEW_AGE_MOST]:
+        for address in [a for a, r in self.view.items() if r["age"] > transport_constants.VIEW_AGE_MOST]:
             del self.view[address]
         if not self.view:  # alone: any seed that lives will do
             goals = self.seeds
@@ -62,7 +63,7 @@
 
     def some(self, goal):
         rows = [[a, r["age"], r["kind"], r["cell"], r["name"]] for a, r in self.view.items() if a != goal]
-        pick = self.desk.random.sample(rows, min(len(rows), constants.SHUFFLE_MOST - 1))
+        pick = self.desk.random.sample(rows, min(len(rows), transport_constants.SHUFFLE_MOST - 1))
         return pick + [self.me()]
 
     def on_shuffle(self, sender, body):
@@ -80,7 +81,7 @@
             old = self.view.get(address)
             if old is None or old["age"] > age:
                 self.view[address] = {"age": age, "kind": kind, "cell": cell, "name": name}
-        while len(self.view) > constants.VIEW_MOST:
+        while len(self.view) > transport_constants.VIEW_MOST:
             worst = max(self.view, key=lambda a: (self.view[a]["age"], self.desk.random.random()))
             del self.view[worst]
         for hint in body["hints"]:
@@ -95,7 +96,7 @@
         rows = [{"keep": a, "age": round(now - t, 3)} for a, t in self.keeps.items()]
         if self.replicas:
             rows += self.replicas.hints()
-        return rows[: constants.HINTS_MOST]
+        return rows[: transport_constants.HINTS_MOST]
 
     def take(self, hint):
         if "keep" in hint:
--- a/mothshed/transport/link_loop.py
+++ b/mothshed/transport/link_loop.py
@@ -10,9 +10,9 @@
 import socket
 import threading
 
-import mothshed.constants as constants
 import mothshed.runtime.ring as ring
 import mothshed.runtime.waker as waker_module
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.link as link_module
 import mothshed.transport.link_table as link_table
 import mothshed.transport.records as records
@@ -30,7 +30,7 @@
 
     def __init__(self, listen: str, address: str, deliver: Deliver, now: collections.abc.Callable[[], float]) -> None:
         self.deliver, self.now = deliver, now
-        self.server = socket.create_server(link_module.split(listen), backlog=constants.PEER_BACKLOG)
+        self.server = socket.create_server(link_module.split(listen), backlog=transport_constants.PEER_BACKLOG)
         self.server.setblocking(False)
         self.waker = waker_module.Waker()
         self.table = link_table.LinkTable(address, now, self.waker)
@@ -62,7 +62,7 @@
 
     def step(self) -> None:
         """Wait for something to do, and do it."""
-        for key, mask in self.selector.select(constants.PEER_LOOK):
+        for key, mask in self.selector.select(transport_constants.PEER_LOOK):
             if isinstance(key.data, link_module.Link):
                 self.serve(key.data, mask)
             else:
@@ -70,7 +70,7 @@
         with self.table.lock:
             self.watch_what_others_left()
             now = self.now()
-            if now - self.looked_at >= constants.PEER_LOOK:
+            if now - self.looked_at >= transport_constants.PEER_LOOK:
                 self.looked_at = now
                 self.look_over(now)
 
--- a/mothshed/transport/link_table.py
+++ b/mothshed/transport/link_table.py
@@ -9,8 +9,8 @@
 import collections.abc
 import threading
 
-import mothshed.constants as constants
 import mothshed.runtime.waker as waker_module
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.link as link_module
 import mothshed.transport.reachability as reachability
 import mothshed.transport.records as records
@@ -44,7 +44,7 @@
             link = self.by_peer.get(peer) or self.open(peer)
             if link is None:
                 self.counts["dropped"] += 1
-            elif len(link.outgoing) >= constants.PEER_QUEUE:
+            elif len(link.outgoing) >= transport_constants.PEER_QUEUE:
                 self.counts["queue_full"] += 1
             else:
                 self.write_now(link, data)
--- a/mothshed/transport/remembered.py
+++ b/mothshed/transport/remembered.py
@@ -9,9 +9,9 @@
 
 import json
 
-import mothshed.constants as constants
 import mothshed.runtime.ring as ring
 import mothshed.storage.disk as disk_module
+import mothshed.transport.constants as transport_constants
 
 FILE = "neighbours"
 
@@ -23,13 +23,13 @@
         self.desk, self.disk = desk, disk
         self.turn, self.writing, self.written_at = 0, False, desk.now()
         self.kept = self.read()
-        self.at = dict.fromkeys(self.kept, desk.now() - constants.CALL_SILENT)  # address -> last heard
+        self.at = dict.fromkeys(self.kept, desk.now() - transport_constants.CALL_SILENT)  # address -> last heard
 
     def read(self):
         """The addresses last written; none if they cannot be read."""
         try:
             rows = json.loads(self.disk.read(FILE) or b"[]")
-            return sorted({str(a) for a in rows if ":" in str(a)})[: constants.REMEMBER_MOST]
+            return sorted({str(a) for a in rows if ":" in str(a)})[: transport_constants.REMEMBER_MOST]
         except (ValueError, TypeError, disk_module.DiskFault) as e:
             ring.note("neighbours_unreadable", reason=str(e))
             return []
@@ -42,15 +42,19 @@
     def to_call(self, near):
         """A few of those not heard of lately, each in its turn; writes down what changed."""
         now = self.desk.now()
-        self.at = {a: t for a, t in self.at.items() if now - t < constants.REMEMBER_LIFE}
-        while len(self.at) > constants.REMEMBER_MOST:
+        self.at = {a: t for a, t in self.at.items() if now - t < transport_constants.REMEMBER_LIFE}
+        while len(self.at) > transport_constants.REMEMBER_MOST:
             del self.at[min(self.at, key=self.at.get)]
-        if sorted(self.at) != self.kept and not self.writing and now - self.written_at > constants.REMEMBER_BEAT:
+        if (
+            sorted(self.at) != self.kept
+            and not self.writing
+            and now - self.written_at > transport_constants.REMEMBER_INTERVAL
+        ):
             self.writing, self.kept = True, sorted(self.at)
             self.desk.spawn(lambda rows=self.kept: self.write(rows))
-        silent = sorted(a for a, t in self.at.items() if now - t >= constants.CALL_SILENT and a not in near)
-        self.turn += constants.CALL_MOST
-        return [silent[(self.turn + n) % len(silent)] for n in range(min(constants.CALL_MOST, len(silent)))]
+        silent = sorted(a for a, t in self.at.items() if now - t >= transport_constants.CALL_SILENT and a not in near)
+        self.turn += transport_constants.CALL_MOST
+        return [silent[(self.turn + n) % len(silent)] for n in range(min(transport_constants.CALL_MOST, len(silent)))]
 
     def write(self, rows):
         """Writes the addresses; a disk that fails is noted, and a later beat tries again."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,6 +6,7 @@
 import pytest
 
 import mothshed.constants as constants
+import mothshed.transport.constants as transport_constants
 import tools.capacity as capacity
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
@@ -38,7 +39,7 @@
 
 def test_a_view_stays_bounded_and_nothing_crashes(steady):
     for said in steady.values():
-        assert said["state"]["neighbours"] <= constants.VIEW_MOST and said["state"]["faults"] == 0
+        assert said["state"]["neighbours"] <= transport_constants.VIEW_MOST and said["state"]["faults"] == 0
 
 
 def test_a_change_is_in_force_everywhere(steady):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,7 +24,8 @@
 
 
 def test_constants_named_on_the_pages_exist():
-    said = set(re.findall(r"^([A-Z_]+) = ", (ROOT / "mothshed" / "constants.py").read_text(), re.M))
+    files = (ROOT / "mothshed").rglob("constants.py")
+    said = {name for path in files for name in re.findall(r"^([A-Z_]+) = ", path.read_text(), re.M)}
     for page in ("platform.md", "operate.md"):
         named = set(re.findall(r"`([A-Z]+_[A-Z_]+)`", (ROOT / "docs" / page).read_text()))
         assert named - said == set()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,6 +4,7 @@
 
 import mothshed.constants as constants
 import mothshed.replicas.known_replicas as replicas
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.gossip as gossip
 import tests.all_orders as all_orders
 import tools.simulator.end_of_day as end_of_day
@@ -33,7 +34,7 @@
     read(far)
     assert "r099" in far.usable({})
     rows = talk.hints()
-    assert len(rows) == constants.HINTS_MOST
+    assert len(rows) == transport_constants.HINTS_MOST
     for row in rows:
         other.take(row)
     assert "r099" not in far.usable({})
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import mothshed.constants as constants
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.link as link_module
 import mothshed.transport.records as records
 import tests.peer_nodes as peer_nodes
@@ -67,7 +67,9 @@
         held = node.loop.table.by_peer["127.0.0.1:1"].sock
         link_module.tune(conn)
         for sock in (held, conn):
-            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == constants.PEER_SILENT * 1000
+            assert (
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == transport_constants.PEER_SILENT * 1000
+            )
             assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
 
 
@@ -79,7 +81,7 @@
     for mark in range(10):
         node.send(gone, mark)
     assert node.count("opened") == 1 and node.count("dropped") == 10
-    node.clock.seconds += constants.PEER_RETRY + 0.01
+    node.clock.seconds += transport_constants.PEER_RETRY + 0.01
     node.send(gone, 11)
     assert node.count("opened") == 2
 
@@ -94,7 +96,7 @@
             sock.connect_ex(full.getsockname())
         node.send(address, 1)
         assert address in node.loop.table.by_peer
-        node.clock.seconds += constants.PEER_CONNECT + 0.1
+        node.clock.seconds += transport_constants.PEER_CONNECT + 0.1
         peer_nodes.until(lambda: node.links() == 0)
         for sock in waiting:
             sock.close()
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -6,6 +6,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 FILES = sorted((ROOT / "mothshed").rglob("*.py"))
+CONSTANTS = sorted((ROOT / "mothshed").rglob("constants.py"))
 ALL = sorted(p for d in ("mothshed", "tools", "tests") for p in (ROOT / d).rglob("*.py"))
 
 
@@ -36,8 +37,13 @@
     assert found == []
 
 
+def test_no_constant_stands_in_two_files():
+    names = [name for path in CONSTANTS for name in re.findall(r"^([A-Z_]+) = ", path.read_text(), re.M)]
+    assert len(CONSTANTS) == 2 and len(names) == len(set(names)) > 200
+
+
 def test_every_constant_has_unit_and_reason():
-    lines = (ROOT / "mothshed" / "constants.py").read_text().splitlines()
+    lines = [line for path in CONSTANTS for line in path.read_text().splitlines()]
     assert [line for line in lines if re.match(r"[A-Z_]+ = ", line) and len(line.partition("#")[2].split()) < 4] == []
 
 
--- a/tools/hollow/parts.py
+++ b/tools/hollow/parts.py
@@ -11,6 +11,7 @@
 import mothshed.data_plane.route_front as route_front
 import mothshed.replicas.replica_load as replica_load
 import mothshed.storage.disk_log as disk_log
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.records as records
 import tools.hollow.design as design
 import tools.hollow.fleet as fleet_module
@@ -119,7 +120,7 @@
         "unpack": spent(lambda: records.CODEC.unpack(data)),
         "snapshot bytes": state,
         "largest append bytes": entries,
-        "record most": constants.RECORD_MOST,
+        "record most": transport_constants.RECORD_MOST,
     }
 
 
--- a/tools/hollow/speech.py
+++ b/tools/hollow/speech.py
@@ -9,6 +9,7 @@
 
 class Speech:
     gives_roles, says_standing = True, False
+    tenant_field, system_fields = "x-tenant-name", frozenset()
 
     def rows(self, desk, url):
         """The list, all its pages: name -> row."""
--- a/tools/simulator/days_of_releases.py
+++ b/tools/simulator/days_of_releases.py
@@ -4,12 +4,12 @@
 agreement and of leases, and a kind of record that the earlier one does not know.
 """
 
-import mothshed.constants as constants
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.record_kinds as record_kinds
 import mothshed.transport.records as records
 import tools.simulator.day_base as base
 
-LATER = constants.RECORDS_RELEASE + 1
+LATER = transport_constants.RECORDS_RELEASE + 1
 EXTENDED = ("append", "append_say", "vote_ask", "grant", "ask", "news")
 STEP = 2.4  # s from one restart to the next
 BACK = 0.8  # s that a restarted process is away
