--- a/mothshed/control_plane/keeper_front.py
+++ b/mothshed/control_plane/keeper_front.py
@@ -25,8 +25,8 @@
 import mothshed.configuration.document_change as document_change
 import mothshed.constants as constants
 import mothshed.control_plane.confirmed_calls as confirmed_calls
+import mothshed.control_plane.document_delivery as document_delivery
 import mothshed.control_plane.leader_hint as leader_hint
-import mothshed.control_plane.leaseholder as leaseholder
 import mothshed.http.front as front
 
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's start_response
@@ -111,15 +111,12 @@
         asked = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("id", [])
 
         def give():
-            m = self.member.machine
+            machine = self.member.machine
             return {
-                "active": m.active,
-                "latest": m.latest,
-                "rows": [
-                    {"sequence": s, "by": r["by"], "id": r["id"], "document": leaseholder.delivered_form(r["doc"])}
-                    for s, r in sorted(m.docs.items())
-                ],
-                "taken": {order_id: m.taken.sequence_of(order_id) for order_id in asked},
+                "active": machine.active,
+                "latest": machine.latest,
+                "rows": [history_row(sequence, row) for sequence, row in sorted(machine.docs.items())],
+                "taken": {order_id: machine.taken.sequence_of(order_id) for order_id in asked},
             }
 
         return self.read(environ, start, give)
@@ -191,6 +188,12 @@
     return front.fault(start, 504, reason, verdict="may_have_run", id=order_id)
 
 
+def history_row(sequence: int, row: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """A document of the history as operators are shown it: without the text that may hold keys."""
+    document = document_delivery.delivered_form(row["doc"])
+    return {"sequence": sequence, "by": row["by"], "id": row["id"], "document": document}
+
+
 def not_applied(start: StartResponse, faults: list[str]) -> list[bytes]:
     return front.fault(start, 400, "nothing was applied", faults=faults)
 
