A key with letters beyond ASCII is known by the bytes that come

Found in review: a document with such a key was acknowledged and its holder got 401, since heads are read as Latin-1 and the key's digest was made of the text so read. The digest of a field is that of its bytes now; the test failed before.

--- a/mothshed/configuration/tenant_keys.py
+++ b/mothshed/configuration/tenant_keys.py
@@ -22,19 +22,26 @@
 
 
 def digest_of(key: str) -> str:
-    """The digest of a key: the first KEY_DIGEST_BYTES of its SHA-256, in hexadecimal."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()[: constants.KEY_DIGEST_BYTES].hex()
+    """The digest of a key: the first KEY_DIGEST_BYTES of the SHA-256 of its UTF-8 bytes, in hexadecimal."""
+    return digest_of_bytes(key.encode("utf-8", "surrogateescape"))
+
+
+def digest_of_bytes(key: bytes) -> str:
+    """The digest of a key as its bytes came."""
+    return hashlib.sha256(key).digest()[: constants.KEY_DIGEST_BYTES].hex()
 
 
 def digest_in(authorization: str) -> str | None:
     """The digest of the key in an Authorization field of the Bearer scheme (RFC 6750); None if there is none.
 
+    authorization: the field's bytes as text, a character for each byte (Latin-1), as HTTP servers give them.
+
     >>> digest_in("bearer secret") == digest_of("secret"), digest_in("Basic secret"), digest_in("secret")
     (True, None, None)
     """
     scheme, _, key = authorization.strip().partition(" ")
     key = key.strip()
-    return digest_of(key) if scheme.lower() == SCHEME and key else None
+    return digest_of_bytes(key.encode("latin-1", "replace")) if scheme.lower() == SCHEME and key else None
 
 
 class KeyTable:
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -106,3 +106,11 @@
     host, (reader, writer) = site.service("pd")
     site.ask(host, headers=[*bearer(KEY), ("Urgency", "0")])
     assert [replica.asked[0].all("Urgency") for replica in (reader, writer)] == [["3"], ["3"]]
+
+
+def test_a_key_with_letters_beyond_ascii_is_known_by_the_bytes_that_come(site):
+    key = "schl\u00fcssel"
+    site.lease.change(senders=[{"name": "kaje80", "permits": [key]}])
+    host, replicas = site.service("pd")
+    assert site.ask(host, headers=bearer(key.encode().decode("latin-1")))[1].status == 200
+    assert [request.all("Sender") for request in all_sends(replicas)] == [["kaje80"], ["kaje80"]]
