Asks for permits go on after one that failed; a refusal by an older document binds no newer one

Found in review, shown by tests that failed before (two of the three also for the waiter that is now handed in): - A request that asked while the mailbox dropped a keeper met KeyError in Gossip.keepers; its ask counted as under way with no timer to make it anew, so that the router got no permits of that part until a leader was named. keepers() reads one table, the timer is set before anything that may fail, and a request that fails is taken out of the queue. - A refusal was filed under the router's document though the leader answered by an older one with a lower rate: a tenant whose limit was raised was refused until the old limit's next token (50 s in the test). A bucket's time no longer goes back with a clock reading from before its last.

--- a/mothshed/control_plane/permit_duty.py
+++ b/mothshed/control_plane/permit_duty.py
@@ -92,7 +92,8 @@
                 continue
             grants[tenant] = self.grant(tenant, row, count, now)
             self.journal.add("permit_ask", outcome="granted" if grants[tenant][0] >= count else "refused")
-        self.environment.tell(sender, "permits", part=self.member.part, mark=body["mark"], grants=grants)
+        part, mark = self.member.part, body["mark"]
+        self.environment.tell(sender, "permits", part=part, mark=mark, sequence=sequence, grants=grants)
 
     def drop_buckets(self, sequence: int, tenants: dict[str, typing.Any], now: float) -> None:
         """Under a newer document, forget those tenants that it lacks whose buckets are full: a new one holds no more.
--- a/mothshed/control_plane/token_bucket.py
+++ b/mothshed/control_plane/token_bucket.py
@@ -21,7 +21,7 @@
     def fill(self, now: float) -> None:
         """Add what has come since the last time."""
         self.level = min(self.capacity, self.level + self.rate * max(0.0, now - self.filled_at))
-        self.filled_at = now
+        self.filled_at = max(self.filled_at, now)
 
     def change(self, rate: float, capacity: float, now: float) -> None:
         """Another limit from now on; tokens above the new capacity are gone."""
--- a/mothshed/data_plane/permits.py
+++ b/mothshed/data_plane/permits.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NextToken:
-    """When a tenant that was refused has its next token, by the document of this sequence."""
+    """When a tenant that was refused has its next token, by the leader's document of this sequence."""
 
     sequence: int
     at: float
@@ -80,8 +80,9 @@
         if not row.get("rate_per_s"):
             return
         self.refuse_before_next_token(tenant, sequence)
-        waiter = self.enter(tenant, sequence)
+        waiter = Waiter(self.environment.gate())
         try:
+            self.enter(tenant, sequence, waiter)
             self.wait(waiter, until, caller)
         finally:
             self.forget(tenant, waiter)
@@ -91,16 +92,14 @@
             raise over_limit(waiter.retry_s)
         raise verdict.Bounce(503, "no permit", constants.PERMIT_RETRY_AFTER, "no_permit")
 
-    def enter(self, tenant: str, sequence: int) -> Waiter:
+    def enter(self, tenant: str, sequence: int, waiter: Waiter) -> None:
         """Let one more request of a tenant wait for a permit, and ask for it unless an ask is under way."""
         part = parts.part_of(tenant)
-        waiter = Waiter(self.environment.gate())
         with self.lock:
             self.sequence = max(self.sequence, sequence)
             self.parts[part].waiting.setdefault(tenant, collections.deque()).append(waiter)
             if self.parts[part].unanswered is None:
                 self.ask(part)
-        return waiter
 
     def refuse_before_next_token(self, tenant: str, sequence: int) -> None:
         """Raise Bounce (429) if the tenant was refused by this document and its next token is still to come."""
@@ -147,9 +146,9 @@
             for waiter in rows:
                 waiter.first_mark = waiter.first_mark or self.mark
         counts = {tenant: len(rows) for tenant, rows in asks.waiting.items()}
+        self.environment.beat(asks.again_s(), lambda mark=self.mark: self.ask_again(part, mark))
         goal = self.leaders.ask(part)
         self.environment.tell(goal, "permit_ask", part=part, mark=self.mark, sequence=self.sequence, counts=counts)
-        self.environment.beat(asks.again_s(), lambda mark=self.mark: self.ask_again(part, mark))
 
     def ask_again(self, part: int, mark: int) -> None:
         """Nobody has answered an ask: it is made anew, perhaps elsewhere."""
@@ -177,7 +176,7 @@
             for tenant, (count, wait_s) in body["grants"].items():
                 self.hand_out(asks, tenant, mark, count, wait_s)
                 if wait_s > 0:
-                    self.next_tokens[tenant] = NextToken(self.sequence, asked_at + wait_s)
+                    self.next_tokens[tenant] = NextToken(body["sequence"], asked_at + wait_s)
             if asks.unanswered == mark:
                 self.ask_or_pause(part)
 
--- a/mothshed/transport/gossip.py
+++ b/mothshed/transport/gossip.py
@@ -115,5 +115,6 @@
 
     def keepers(self):
         """Addresses to ask for the leader: those vouched for lately, then the seeds."""
-        late = sorted(self.keeps, key=lambda a: -self.keeps[a])
-        return [a for a in late if a != self.desk.address] + [s for s in self.seeds if s not in self.keeps]
+        keeps = dict(self.keeps)  # other threads ask too, while the mailbox drops those unheard of
+        late = sorted(keeps, key=lambda address: -keeps[address])
+        return [a for a in late if a != self.desk.address] + [s for s in self.seeds if s not in keeps]
--- a/mothshed/transport/record_kinds.py
+++ b/mothshed/transport/record_kinds.py
@@ -128,5 +128,5 @@
     kind(27, "look_elsewhere", "part:q mark:q leader:s"),
     # limits of tenants
     kind(28, "permit_ask", "part:q mark:q sequence:q counts:j", 2),
-    kind(29, "permits", "part:q mark:q grants:j", 2),
+    kind(29, "permits", "part:q mark:q sequence:q grants:j", 2),
 )
--- a/tests/permit_case.py
+++ b/tests/permit_case.py
@@ -113,7 +113,9 @@
 
     # --- what may happen ---
     def request(self):
-        self.requests.append((self.pool.steps, self.router.enter(TENANT, 1)))
+        waiter = permits.Waiter(self.router.environment.gate())
+        self.router.enter(TENANT, 1, waiter)
+        self.requests.append((self.pool.steps, waiter))
 
     def new_leader(self):
         self.lead(KEEPERS[1])
--- /dev/null
+++ b/tests/test_permit_faults.py
@@ -0,0 +1,82 @@
+"""A router's permits when asking fails, and when a leader answers by an older document."""
+
+import threading
+
+import pytest
+
+import mothshed.data_plane.permits as permits
+import mothshed.replicas.leaders as leaders
+import mothshed.replicas.verdict as verdict
+import mothshed.runtime.journal as journal_module
+import mothshed.transport.gossip as gossip
+import tests.all_orders as all_orders
+
+ROW = {"rate_per_s": 50, "burst": 20}
+KEEPER = "keeper:1"
+
+
+class Router:
+    """Permits of one router whose environment is moved by hand."""
+
+    def __init__(self):
+        self.pool = all_orders.Pool()
+        self.desk = all_orders.HandDesk(self.pool, "router:1")
+        self.leaders = leaders.Leaders(self.desk, lambda: [KEEPER])
+        self.permits = permits.Permits(self.desk, self.leaders, journal_module.Journal())
+
+    def asks(self):
+        return [body for _goal, _sender, kind, body in self.pool.waiting if kind == "permit_ask"]
+
+    def enter(self):
+        waiter = permits.Waiter(threading.Event())
+        self.permits.enter("a", 2, waiter)
+        return waiter
+
+
+@pytest.fixture
+def router():
+    return Router()
+
+
+def test_permits_are_asked_for_anew_though_the_first_ask_failed_before_it_was_sent(router, monkeypatch):
+    def fail(part):
+        raise KeyError("keeper:9")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(router.leaders, "ask", fail)
+        with pytest.raises(KeyError):
+            router.enter()
+    assert router.asks() == []
+    router.desk.beats[-1]()
+    assert [row["counts"] for row in router.asks()] == [{"a": 1}]
+
+
+def test_a_refusal_by_an_older_document_binds_no_request_under_the_newer(router):
+    waiter = router.enter()
+    (ask,) = router.asks()
+    body = {"part": ask["part"], "mark": ask["mark"], "sequence": 1, "grants": {"a": [0, 50.0]}}
+    router.permits.on_permits(KEEPER, body)
+    assert waiter.retry_s == 50.0
+    router.permits.refuse_before_next_token("a", 2)
+    with pytest.raises(verdict.Bounce):
+        body["mark"], body["sequence"] = router.permits.mark + 1, 2
+        router.enter()
+        router.permits.on_permits(KEEPER, body)
+        router.permits.refuse_before_next_token("a", 2)
+
+
+def test_keepers_are_listed_while_another_thread_forgets_one():
+    node = gossip.Gossip.__new__(gossip.Gossip)
+    node.desk, node.seeds = all_orders.HandDesk(all_orders.Pool(), "router:1"), ["keeper:9"]
+
+    class Keeps(dict):
+        def __iter__(self):
+            node.keeps = {}
+            return super().__iter__()
+
+        def keys(self):
+            node.keeps = {}
+            return super().keys()
+
+    node.keeps = Keeps({"keeper:1": 2.0, "keeper:2": 1.0})
+    assert node.keepers() == ["keeper:1", "keeper:2", "keeper:9"]
