--- a/tests/test_key_secrecy.py
+++ b/tests/test_key_secrecy.py
@@ -1,7 +1,6 @@
 """A tenant's key shows nowhere: not at replicas, in logs, counters, pages, error texts or records; on disk only once.
 
-Each test brings one way of a request, or of an operator's order, about and then searches everything that was
-written or may be shown. A key that nobody knows is as secret as one that is known: it may be mistyped.
+Each test brings one way of a request, or of an order, about and then searches all that was written or may be shown.
 """
 
 import json
