--- a/tests/test_platform_raw.py
+++ b/tests/test_platform_raw.py
@@ -148,5 +148,5 @@
 def test_a_head_with_a_carriage_return_or_a_zero_byte_within_a_line_is_refused(site, odd):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     rows = [b"POST /p/x HTTP/1.1", b"Host: " + host.encode(), b"Try-Id: odd", odd, b"Content-Length: 0"]
-    said = say(site, b"\r\n".join(rows) + b"\r\n\r\n")
+    said = say(site, b"\r\n".join(rows) + b"\r\n\r\n", constants.READ_TIME + 1.0)  # it ends the connection
     assert said.startswith(b"HTTP/1.1 400 ") and replica.asked == []
