--- a/mothshed/configuration/lease.py
+++ b/mothshed/configuration/lease.py
@@ -32,7 +32,8 @@
         self.keepers = keepers  # () -> addresses that may know the leader
         self.changed = changed
         self.leader = ""
-        self.docs = {}  # sequence -> document: the former one, the active one, and what is staged
+        self.docs = {}  # sequence -> document: the active one, and what is staged
+        self.former = {}  # the same of the one that was active before: a change made from it may be on its way
         self.takes_changes = True  # False from a change that does not fit until the next document
         self.active, self.staged = 0, 0
         self.until = 0.0
@@ -144,7 +145,7 @@
         received: dict[int, document_difference.Document],
     ) -> document_difference.Document | None:
         """The document that a change makes of its base; None, and the whole is asked for, if that can't be told."""
-        known = received.get(base) or self.docs.get(base)
+        known = received.get(base) or self.docs.get(base) or self.former.get(base)
         try:
             if known is not None:
                 return document_difference.applied(known, change)
@@ -175,7 +176,8 @@
         if sequence <= self.active or sequence not in self.docs:
             return
         former, self.active = self.active, sequence
-        for old in [s for s in self.docs if s < former]:  # a change made from the former one may be on its way
+        self.former = {former: self.docs[former]} if former in self.docs else {}
+        for old in [s for s in self.docs if s < sequence]:
             del self.docs[old]
         self.note_version(former)
         self.renew_soon()  # what is left of a short lease ends soon; the next one may be long
