--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,7 +92,6 @@
             return fleet.ask(address, f"t{number:04x}", prompt(number))
 
         answers = fleet.in_threads([lambda n=n: ask(n) for n in range(STREAMS)])
-        router.process.wait(GRACE_S + 1)
         return judge(record, system, replicas, answers, stopped_at)
     finally:
         system.stop()
@@ -120,17 +119,5 @@
     return cut
 
 
-def main():
-    """Return the exit code of the case."""
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # end all processes that were started
-    with open(HERE / "record.txt", "w") as record:
-        try:
-            cut = run(record)
-        except fleet.Skipped as error:
-            record.write(f"could not run: {error}\n")
-            return 2
-    return 1 if cut else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleet.play(run, HERE))
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
@@ -65,10 +67,15 @@
 
 
 def free_port(host):
-    """Return a port that nobody uses on this address now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody uses on this address, below those that the system gives to clients."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(condition, timeout_s, what):
@@ -235,6 +242,17 @@
         self.folder.cleanup()
 
 
+def play(case, folder):
+    """Run a case with its record; return its exit code: 1 if it returned a number above 0, 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # end all processes that were started
+    with open(folder / "record.txt", "w") as record:
+        try:
+            return 1 if case(record) else 0
+        except Exception:
+            record.write("could not run:\n" + traceback.format_exc())
+            return 2
+
+
 @dataclasses.dataclass
 class Answer:
     """What a client saw of one request. Times are seconds of the steady clock."""
