The head of a stream that may be resumed promises nothing of its first run

Traced on both sockets: with a longer further run the router sends all of it, 54 bytes under a length of 48, and keeps the connection; the client takes the answer for complete at 48, in the middle of an event, and finds the other 6 where the next response is due. With a shorter one (51 of 57) it waits for the rest, and takes the next response for it.

Cause: the front passed on every field of the first head but the hop-by-hop ones, while the body came from several runs.

Change, for the class "a head that is already sent promises what only the first run could keep": - Fields that hold for the bytes of one run (length, digests, validators, ranges) are left out of the head of a stream that may be resumed; its end is shown by the framing. A head whose run can't be joined by another one (another status than 200, an encoding, a range) keeps its fields, and its stream is not resumed but breaks visibly. - A further run that can't follow (such a head, another media type, events that came already) counts as a failed attempt, so that the tries that are left are used; before, it ended the stream, or was joined to it. - Answers that are read whole are sent with their length. - The server refuses a body of another length than its head declares, before the surplus is sent, and closes a connection whose body is too short; HEAD, 204 and 304 get no body. - A client of HTTP/1.0, whose streams end with their connection, sees a reset if its stream isn't complete, also when the process is killed (SO_LINGER while the body is sent).

--- a/mothshed/data_plane/delivery.py
+++ b/mothshed/data_plane/delivery.py
@@ -18,6 +18,7 @@
 import mothshed.data_plane.pauses as pauses_module
 import mothshed.data_plane.placement_wait as placement_wait
 import mothshed.data_plane.replica_pair as replica_pair
+import mothshed.data_plane.response_start as response_start_module
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.send_counts as send_counts
 import mothshed.data_plane.stage_times as stage_times
@@ -49,7 +50,7 @@
         self.prepaid = 0  # extra sends that were paid for and not yet written
         self.hedge = None  # while the replica is silent
         self.working_replicas = frozenset()  # of the attempts that this one hedges
-        self.delivering = False  # from the first event on
+        self.head = None  # of the response to the client: the reply of the first run, once it is delivered
         self.last_event_id = request.resume_after  # of the last event delivered
         self.pair = self.handle = self.reply = None
         self.selector = {}  # of the pool of the pair
@@ -65,14 +66,14 @@
         return remaining_s
 
     def start(self):
-        """(reply with its head, first event, its id, remaining events); raises Rejection or RequestFailure."""
+        """The start of the response to the client; raises Rejection or RequestFailure."""
         try:
             return self.run_attempts()
         except BaseException:
             self.release()
             raise
 
-    def run_attempts(self) -> hedge_module.ResponseStart:
+    def run_attempts(self) -> response_start_module.ResponseStart:
         """The start of the response of the first attempt that succeeds; raises Rejection or RequestFailure."""
         while True:
             try:
@@ -84,7 +85,7 @@
             if not self.may_retry():
                 return self.final_response()
 
-    def try_once(self) -> hedge_module.ResponseStart | None:
+    def try_once(self) -> response_start_module.ResponseStart | None:
         """The start of a response, from one attempt or its hedge; None if both failed.
 
         Raises SendFailure if there is no lease or the plan is outdated, so that nothing was sent.
@@ -147,7 +148,7 @@
         """The replica's own error response, if there is one; else raises the outcome of the request."""
         if self.replica_response:
             reply, body = self.replica_response
-            return reply, body, None, iter(())
+            return response_start_module.ResponseStart(reply, body, None, iter(()), is_whole=True)
         if self.may_have_run:
             raise verdict.RequestFailure("request failed", self.failures)
         reason = self.failures[-1].reason if self.failures else "no replica"
@@ -173,8 +174,8 @@
         self.record_late_start()
         return response_start
 
-    def decode(self, pair: replica_pair.ReplicaPair) -> hedge_module.ResponseStart:
-        """Decode at a pair's decode replica: (reply, first event, its id, remaining events)."""
+    def decode(self, pair: replica_pair.ReplicaPair) -> response_start_module.ResponseStart:
+        """Decode at a pair's decode replica; return the start of its response."""
         try:
             self.reply = self.send_decode(pair)
         except verdict.SendFailure as error:
@@ -218,9 +219,11 @@
         try:
             if self.route["kind"] == "stream":
                 remaining_events = events.split_events(reply.pieces())
-                first_event, event_id = next(remaining_events, (b"", None))
+                response_start = response_start_module.ResponseStart(
+                    reply, *next(remaining_events, (b"", None)), remaining_events
+                )
             else:  # read in full before anything is delivered
-                first_event, event_id, remaining_events = reply.all(), None, iter(())
+                response_start = response_start_module.ResponseStart(reply, reply.all(), None, iter(()), is_whole=True)
         except http_client.ExchangeError as error:
             self.raise_if_caller_left()
             self.suspect_replica(verdict.SendFailure(verdict.Verdict.MAY_HAVE_RUN, str(error)), pair.decode_replica)
@@ -234,4 +237,4 @@
         if self.request.parts:
             self.router.placement.prefix_cache.add(name, self.request.parts)
         self.last_event_at = self.environment.now()
-        return reply, first_event, event_id, remaining_events
+        return response_start
--- a/mothshed/data_plane/delivery_silence.py
+++ b/mothshed/data_plane/delivery_silence.py
@@ -15,6 +15,7 @@
 
 import mothshed.constants as constants
 import mothshed.data_plane.hedge as hedge_module
+import mothshed.data_plane.response_start as response_start_module
 import mothshed.http.caller as caller_module
 import mothshed.http.connection as connection
 import mothshed.http.http_client as http_client
@@ -82,8 +83,7 @@
 
     def may_hedge(self) -> bool:
         """Whether the request may be sent to another replica while one is working on it."""
-        resumable = self.last_event_id is not None or not self.delivering
-        return self.repeatable and resumable and self.may_retry()
+        return self.repeatable and (not self.delivering or self.can_resume()) and self.may_retry()
 
     def start_hedge(self) -> None:
         """Start a hedge if there is none, and it is allowed and paid for."""
@@ -118,7 +118,7 @@
 
     def can_take_over(self) -> bool:
         """Whether the finished hedge has a response that continues this request; else it is dropped."""
-        if self.hedge.has_response() and (not self.delivering or self.hedge.response_start[0].status == 200):
+        if self.hedge.has_response() and self.may_follow(self.hedge.response_start):
             return True
         hedge, self.hedge = self.hedge, None
         hedge.cancel()
@@ -128,7 +128,7 @@
         self.record_hedge("failed", str(hedge.failure or "response of another kind"))
         return False
 
-    def take_over(self) -> hedge_module.ResponseStart:
+    def take_over(self) -> response_start_module.ResponseStart:
         """The start of the hedge's response, which is delivered from now on; the work of the silent replica ends."""
         name = self.pair.decode_replica.name
         self.record_failure(
@@ -136,7 +136,7 @@
         )
         return self.adopt_hedge()
 
-    def adopt_hedge(self) -> hedge_module.ResponseStart:
+    def adopt_hedge(self) -> response_start_module.ResponseStart:
         """The start of the hedge's response; what the hedge holds belongs to this delivery from now on."""
         hedge, self.hedge = self.hedge, None
         response_start, other = hedge.take(), hedge.delivery
@@ -151,7 +151,7 @@
         self.record_hedge("took_over")
         return response_start
 
-    def await_hedge(self) -> hedge_module.ResponseStart | None:
+    def await_hedge(self) -> response_start_module.ResponseStart | None:
         """The start of the hedge's response after this attempt has failed; None if there is no hedge or it fails."""
         while self.hedge and not self.hedge.finished:
             self.raise_if_caller_left()
--- a/mothshed/data_plane/hedge.py
+++ b/mothshed/data_plane/hedge.py
@@ -7,11 +7,10 @@
 import threading
 import typing
 
+import mothshed.data_plane.response_start as response_start_module
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.waker as waker_module
 
-ResponseStart = tuple[typing.Any, ...]  # (reply, first event, its id, remaining events)
-
 
 class TakenOver(Exception):
     """A hedge has answered while the first attempt is still silent."""
@@ -25,7 +24,7 @@
         self.waker = waker_module.Waker()
         self.lock = threading.Lock()
         self.finished = self.cancelled = False
-        self.response_start: ResponseStart | None = None  # once it has succeeded
+        self.response_start: response_start_module.ResponseStart | None = None  # once it has succeeded
         self.failure: Exception | None = None  # once it has failed
 
     def run(self) -> None:
@@ -38,7 +37,7 @@
         finally:
             self.finish(response_start, failure)
 
-    def finish(self, response_start: ResponseStart | None, failure: Exception | None) -> None:
+    def finish(self, response_start: response_start_module.ResponseStart | None, failure: Exception | None) -> None:
         """Hand over the result and wake the owner, or end the work if the owner has cancelled it."""
         with self.lock:
             self.response_start, self.failure, self.finished = response_start, failure, True
@@ -53,7 +52,7 @@
         # After a replica's own error the attempt is released; such a response is the last resort of the owner.
         return self.response_start is not None and self.delivery.reply is not None
 
-    def take(self) -> ResponseStart:
+    def take(self) -> response_start_module.ResponseStart:
         """Return the response of a hedge that has one; from now on its owner releases what it holds."""
         assert self.response_start is not None
         self.waker.close()
--- a/mothshed/data_plane/placement_wait.py
+++ b/mothshed/data_plane/placement_wait.py
@@ -100,7 +100,7 @@
         """Why a broken stream was not resumed."""
         if self.ended:
             return self.failures[-1].reason
-        if not self.repeatable or self.last_event_id is None:
+        if not self.can_resume():
             return "stream may not be resumed"
         if self.environment.now() >= self.last_start_at():
             return "no time is left"
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -12,26 +12,12 @@
 import mothshed.constants as constants
 import mothshed.data_plane.delivery as delivery_module
 import mothshed.data_plane.identity as identity_module
+import mothshed.data_plane.response_start as response_start_module
 import mothshed.http.caller as caller_module
 import mothshed.http.http_server as http_server
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.log_buffer as log_buffer
 
-HOP_BY_HOP_HEADERS = {
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "proxy-authorization",
-    "proxy-authenticate",
-    "expect",
-}
-
 
 @dataclasses.dataclass
 class RoutedRequest:
@@ -59,8 +45,7 @@
 
 def forwarded_headers(headers, withheld=frozenset()):
     """Headers without the hop-by-hop ones, and without those withheld (names in lower case)."""
-    named = {w.strip().lower() for k, v in headers.items() if k.lower() == "connection" for w in v.split(",")}
-    dropped = HOP_BY_HOP_HEADERS | named | withheld
+    dropped = response_start_module.connection_headers(headers) | withheld
     return {k: v for k, v in headers.items() if k.lower() not in dropped}
 
 
@@ -81,12 +66,8 @@
         except BaseException as error:
             router.end_request()
             return self.failure_response(start_response, error, delivery.request.id if delivery else "")
-        reply = response_start[0]
-        headers = [
-            (k, v)
-            for k, v in reply.headers.items()
-            if k.lower() not in HOP_BY_HOP_HEADERS or k.lower() == "content-length"
-        ]
+        reply, may_be_resumed = response_start.reply, delivery.may_be_resumed(response_start)
+        headers = response_start_module.headers_for_client(response_start, request.method, may_be_resumed)
         if router.leaving:
             headers.append(("Connection", "close"))
         start_response(f"{reply.status} {reply.reason}", headers)
--- a/mothshed/http/headers.py
+++ b/mothshed/http/headers.py
@@ -7,15 +7,20 @@
 """
 
 import socket
+import struct
 
 import cheroot.server
 
 import mothshed.constants as constants
 import mothshed.http.chunked as chunked
+import mothshed.runtime.cancellation as cancellation
 import mothshed.runtime.clock as clock
 
 SINGLE_FIELDS = {b"Content-Length", b"Transfer-Encoding", b"Host"}
 LINE_END = b"\r\n"
+BODILESS_STATUSES = (204, 205, 304)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # values of SO_LINGER
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 FORBIDDEN_IN_LINE = (b"\r", b"\0")  # some parsers take them for the end of a line or of the headers
 
 
@@ -64,10 +69,15 @@
     header_reader = StrictHeaderReader()
 
     def respond(self):
-        """Respond as the library does, but read chunked bodies with the strict reader."""
-        if not self.chunked_read:
+        """Respond as the library does, and note once the response is complete."""
+        if self.chunked_read:
+            self.respond_to_chunked()
+        else:
             super().respond()
-            return
+        self.conn.end_response()
+
+    def respond_to_chunked(self) -> None:
+        """Respond as the library does, but read the chunked body with the strict reader."""
         self.rfile = chunked.ChunkedBody(self.conn.rfile)
         self.server.gateway(self).respond()
         if self.ready:
@@ -81,6 +91,14 @@
             self.close_connection = True
         super().send_headers()
         self.conn.discard_on_close = self.close_connection
+        if self.ends_with_connection():
+            self.conn.begin_unframed_response()
+
+    def ends_with_connection(self) -> bool:
+        """Return whether the end of the connection is the end of the body, as for a client of HTTP/1.0."""
+        has_length = any(name.lower() == b"content-length" for name, _value in self.outheaders)
+        has_body = self.method != b"HEAD" and int(self.status[:3]) not in BODILESS_STATUSES
+        return has_body and not has_length and not self.chunked_write
 
     def simple_response(self, status, msg=""):
         self.conn.discard_on_close = True
@@ -90,12 +108,35 @@
 class Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = Request
     discard_on_close = False  # there may be unread input
+    is_unfinished = False  # a response that ends with this connection is not complete
+
+    def begin_unframed_response(self) -> None:
+        """Have the connection reset if it ends before the response does, even with this process."""
+        self.is_unfinished = True
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    def end_response(self) -> None:
+        """Note that the response is complete: a connection that ends now ends in order."""
+        if self.is_unfinished:
+            self.is_unfinished = False
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_IN_ORDER)
+
+    def abort(self) -> None:
+        """End the exchange from another thread, so that the client sees an incomplete response."""
+        if self.is_unfinished and self.caller:
+            self.caller.cancellation.cancel()  # a shutdown would look like the end of the response
+        else:
+            cancellation.shut_down(self.socket)
 
     def close(self):
-        if self.discard_on_close:
+        if self.discard_on_close and not self.is_unfinished:
             self.discard_input()
         super().close()
 
+    def _close_kernel_socket(self) -> None:
+        if not self.is_unfinished:  # the library's shutdown would prevent the reset
+            super()._close_kernel_socket()
+
     def discard_input(self):
         """Discard further input before closing: unread bytes would reset the connection and lose the response."""
         deadline = clock.now() + constants.LINGER_TIMEOUT_S
--- a/mothshed/http/http_server.py
+++ b/mothshed/http/http_server.py
@@ -1,8 +1,8 @@
 """The HTTP server on cheroot (WSGI) and the responses common to all its applications.
 
 Responses are JSON with a Content-Length, or event streams. A stream that fails raises
-within the server, which then closes the connection without the last chunk, so that the
-user agent detects the truncated response.
+within the server, which then closes the connection without the last chunk, or resets one
+whose end would be the end of the stream, so that the user agent detects the truncated response.
 """
 
 import collections.abc
@@ -17,9 +17,9 @@
 import mothshed.constants as constants
 import mothshed.http.caller as caller
 import mothshed.http.chunked as chunked
+import mothshed.http.gateway as gateway
 import mothshed.http.headers as headers
 import mothshed.http.idle as idle
-import mothshed.runtime.cancellation as cancellation
 import mothshed.runtime.clock as clock
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -45,7 +45,7 @@
 }
 
 
-Environ = dict[str, typing.Any]  # WSGI's
+Environ = gateway.Environ
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's
 HeaderRows = collections.abc.Iterable[tuple[str, str]]
 
@@ -122,15 +122,6 @@
     return data
 
 
-class Gateway(cheroot.wsgi.Gateway_10):
-    """The library's gateway, which also passes the caller and the original headers to the application."""
-
-    def get_environ(self) -> Environ:
-        """Return the WSGI environment with `mothshed.caller` (Caller) and `mothshed.headers` (name -> text)."""
-        raw = {name.decode("latin-1"): value.decode("latin-1") for name, value in self.req.inheaders.items()}
-        return {**super().get_environ(), "mothshed.caller": caller.Caller(self.req.conn), "mothshed.headers": raw}
-
-
 class Server(cheroot.wsgi.Server):
     """A cheroot server that logs to the log buffer and protects its threads from slow clients.
 
@@ -152,7 +143,7 @@
             shutdown_timeout=1,
         )
         self.idle_limit = idle.IdleLimit(constants.DEFAULT_IDLE_TIMEOUT_S)
-        self.gateway, self.ConnectionClass = Gateway, headers.Connection
+        self.gateway, self.ConnectionClass = gateway.Gateway, headers.Connection
         self.max_request_header_size = constants.MAX_HEADER_BYTES
         self.keep_alive_conn_limit = constants.MAX_IDLE_CLIENT_CONNECTIONS
         self.active_connections = set()
@@ -226,7 +217,7 @@
                 self.active_connections.discard(conn)
             elif until is not None and now > until:
                 self.active_connections.discard(conn)
-                cancellation.shut_down(conn.socket)
+                conn.abort()
 
     def cancel_disconnected(self, now: float) -> None:
         """Cancel the requests of callers that have disconnected, with one poll of all connections."""
--- /dev/null
+++ b/tests/test_response_heads.py
@@ -0,0 +1,181 @@
+"""Heads of resumed streams: they promise nothing that only the first run could keep."""
+
+import http.client
+import socket
+
+import pytest
+
+import mothshed.data_plane.response_start as response_start_module
+import mothshed.http.http_server as http_server
+import tests.framed_replicas as framed
+import tests.platform_site as platform_site
+
+Framing, Run = framed.Framing, framed.Run
+FIRST_EVENT_BYTES = len(framed.events_of("word")[0])
+BROKEN_RUN = {"break_after": FIRST_EVENT_BYTES}
+DECLARED = (Framing.LENGTH, Framing.CHUNKS)
+
+
+@pytest.fixture(scope="module")
+def site():
+    found = platform_site.Site()
+    yield found
+    found.stop()
+
+
+# Incident review/2 (MIXED): a resumed stream was cut at the length of its first run, and looked complete.
+@pytest.mark.parametrize("words", ["longer words", "w", "lord"])
+@pytest.mark.parametrize("further", DECLARED)
+@pytest.mark.parametrize("first", DECLARED)
+def test_a_resumed_stream_is_whole_whatever_the_length_of_its_further_run(site, first, further, words):
+    host, _replicas = framed.serve_runs(site, Run(first, **BROKEN_RUN), Run(further, words))
+    client = framed.RawClient(site)
+    for _request in range(2):  # the second one finds nothing on the connection that belongs to the first
+        response = client.ask(host, framed.new_request_id())
+        assert response.body == framed.body_of("word", last=1) + framed.body_of(words, first=2)
+        assert response.is_complete and response.surplus == b"" and response.field("content-length") is None
+    client.close()
+
+
+# Guards against the rest of a body that is left on a kept connection and taken for the next response.
+def test_a_stream_with_a_length_that_is_not_resumed_breaks_visibly(site):
+    host, _replicas = framed.serve_runs(site, Run(Framing.LENGTH, **BROKEN_RUN), legs="d", tries=1)
+    client = framed.RawClient(site)
+    response = client.ask(host, framed.new_request_id())
+    assert response.body == framed.body_of("word", last=1) and not response.is_complete and not client.is_open
+
+
+# Guards against a client that checks a digest or an entity tag of the first run against the joined body.
+@pytest.mark.parametrize("name", sorted(response_start_module.SINGLE_RUN_HEADERS - {"content-length"}))
+def test_a_field_that_describes_the_bytes_of_the_first_run_is_not_sent(site, name):
+    field = ((name.title(), "value"),)
+    host, _replicas = framed.serve_runs(site, Run(headers=field, **BROKEN_RUN), Run(headers=field))
+    _id, response = framed.ask(site, host)
+    assert response.is_complete and response.field(name) is None and response.field("postmark")
+
+
+@pytest.mark.parametrize("more", [{"resumable": False}, {"kind": "repeatable"}, {"kind": "once_only"}])
+@pytest.mark.parametrize("framing", DECLARED)
+def test_a_response_of_one_run_keeps_the_fields_that_describe_it(site, more, framing):
+    fields = (("Content-Digest", "sha-256=:AA==:"), ("ETag", '"x"'))
+    host, _replicas = framed.serve_runs(site, Run(framing, headers=fields), **more)
+    _id, response = framed.ask(site, host)
+    assert response.is_complete and response.body == framed.body_of("word")
+    assert (response.field("content-digest"), response.field("etag")) == ("sha-256=:AA==:", '"x"')
+    if more.get("kind") or framing is Framing.LENGTH:  # the length is known before anything is sent
+        assert response.field("content-length") == str(len(response.body))
+
+
+# Guards against a body of which one part is encoded and another is not, or that starts as a range.
+@pytest.mark.parametrize("first", [{"headers": (("Content-Encoding", "gzip"),)}, {"status": 206}, {"status": 404}])
+def test_a_head_that_holds_for_one_run_only_is_followed_by_no_other(site, first):
+    host, _replicas = framed.serve_runs(site, Run(**first, **BROKEN_RUN), Run())
+    request_id, response = framed.ask(site, host, headers=[("Last-Event-Id", "0")])
+    assert not response.is_complete and len(site.platform.ran(request_id)) == 1
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"headers": (("Content-Encoding", "gzip"),)},
+        {"headers": (("Content-Range", "bytes 0-9/10"),)},
+        {"content_type": "application/json"},
+        {"status": 206},
+        {"status": 404},
+    ],
+)
+def test_a_further_run_that_can_not_follow_the_head_is_replaced_by_another(site, other):
+    host, _replicas = framed.serve_runs(site, Run(**BROKEN_RUN), Run(words="other", **other), Run(words="third"))
+    request_id, response = framed.ask(site, host)
+    assert response.is_complete and len(site.platform.ran(request_id)) == 3
+    assert response.body == framed.body_of("word", last=1) + framed.body_of("third", first=2)
+
+
+def test_a_further_run_that_begins_too_early_is_replaced_by_another(site):
+    host, replicas = framed.serve_runs(site, Run(**BROKEN_RUN), Run())
+    usual_runs = {replica.name: replica.run for replica in replicas}
+    counts = []
+
+    for replica in replicas:
+
+        def run(conn, request, fault, headers, replica=replica):
+            counts.append(replica)
+            if len(counts) == 2:  # the second run ignores the event after which it should begin
+                request.headers = [row for row in request.headers if row[0] != "Last-Event-Id"]
+            return usual_runs[replica.name](conn, request, fault, headers)
+
+        replica.run = run
+    _id, response = framed.ask(site, host)
+    assert response.is_complete and response.body == framed.body_of("word") and len(counts) == 3
+
+
+@pytest.mark.parametrize("framing", DECLARED)
+@pytest.mark.parametrize("short_bytes", range(1, 9))
+def test_a_break_within_the_last_event_is_completed_elsewhere(site, framing, short_bytes):
+    broken = Run(framing, break_after=len(framed.body_of("word")) - short_bytes)
+    host, _replicas = framed.serve_runs(site, broken, Run(words="second words"))
+    _id, response = framed.ask(site, host)
+    assert response.is_complete
+    assert response.body == framed.body_of("word", last=3) + framed.body_of("second words", first=4)
+
+
+@pytest.mark.parametrize("framing", DECLARED)
+def test_a_stream_that_finds_no_further_run_breaks_visibly(site, framing):
+    host, _replicas = framed.serve_runs(site, Run(framing, **BROKEN_RUN), legs="d")
+    _id, response = framed.ask(site, host)
+    assert response.body == framed.body_of("word", last=1) and not response.is_complete
+
+
+# HTTP/1.0 knows no chunks: only a reset tells its client that a stream without a length is not complete.
+@pytest.mark.parametrize("framing", DECLARED)
+@pytest.mark.parametrize("replica_count", [1, 2])
+def test_a_client_of_http_1_0_sees_whether_a_stream_is_complete(site, framing, replica_count):
+    host, _replicas = framed.serve_runs(site, Run(framing, **BROKEN_RUN), Run(words="more"), legs="d" * replica_count)
+    _id, response = framed.ask(site, host, version="1.0")
+    assert response.is_complete == (replica_count == 2) and response.field("transfer-encoding") is None
+    if replica_count == 2:
+        assert response.body == framed.body_of("word", last=1) + framed.body_of("more", first=2)
+
+
+def test_a_response_to_head_leaves_nothing_on_its_connection(site):
+    host, _replicas = framed.serve_runs(site, Run(Framing.LENGTH))
+    client = framed.RawClient(site)
+    response = client.ask("unknown.example", framed.new_request_id(), method="HEAD")
+    assert response.head.startswith(b"HTTP/1.1 404 ") and response.body == b""
+    assert client.ask(host, framed.new_request_id()).head.startswith(b"HTTP/1.1 200 ")
+    client.close()
+
+
+@pytest.fixture(scope="module")
+def application():
+    """A server whose application sends the pieces of `bodies` under a head with a length of 4."""
+    bodies = {"/short": [b"ab"], "/long": [b"ab", b"cde"], "/long-at-once": [b"abcde"], "/whole": [b"ab", b"cd"]}
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "4")])
+        return bodies[environ["PATH_INFO"]]
+
+    server = http_server.Server("127.0.0.1:0", app, 4)
+    yield platform_site.serve(server)
+    server.stop()
+
+
+@pytest.mark.parametrize("path, sent", [("/short", b"ab"), ("/long", b"ab"), ("/long-at-once", b"")])
+def test_a_body_of_another_length_than_declared_does_not_look_complete(application, path, sent):
+    host, port = application.rsplit(":", 1)
+    conn = http.client.HTTPConnection(host, int(port), timeout=5)
+    conn.request("GET", path)
+    with pytest.raises(http.client.IncompleteRead) as failure:
+        conn.getresponse().read()
+    assert failure.value.partial == sent
+    conn.close()
+
+
+def test_a_body_of_the_declared_length_keeps_its_connection(application):
+    host, port = application.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), 5) as conn:
+        for _request in range(2):
+            conn.sendall(b"GET /whole HTTP/1.1\r\nHost: h\r\n\r\n")
+            data = b""
+            while not data.endswith(b"abcd"):
+                data += conn.recv(4096)
