A response without a length may end with its connection

Cause: the library takes the end of the connection for the end of the head, so a head that was cut off could not be told from one without a length, and both were refused.

Change: the head's lines are read through a reader that fails if the connection ends before the empty line, whatever fields came before. A body without a length or chunks then ends with the connection; a reset, or an end within an event of a stream, is a break, and the stream goes on elsewhere where that is allowed. Such a connection is not used again. 204, 304 and HEAD have no body, whatever their fields say, and bytes after them close the connection; before, chunks were waited for.

--- a/mothshed/http/connection.py
+++ b/mothshed/http/connection.py
@@ -1,10 +1,14 @@
-"""A connection to a replica whose reads may go on after a silence.
+"""A connection to a replica whose reads may go on after a silence, and the heads of its responses.
 
 A read that times out ends an exchange only if nobody watches it. A watcher is called with the silent socket; it
 returns if the read is to go on, with the timeout for that, or raises what ends the exchange.
+
+The library takes the end of a connection for the end of a head. As a response may declare no length and end with its
+connection, a head that is cut off would pass for a whole one; here it is an error.
 """
 
 import collections.abc
+import enum
 import http.client
 import io
 import select
@@ -74,6 +78,33 @@
         super().close()
 
 
+class Framing(enum.Enum):
+    """What shows where the body of a response ends (RFC 9112, section 6.3)."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "end of the connection"
+
+
+class HeadLines:
+    """The lines of a response's head; raises RemoteDisconnected if the connection ends before an empty line."""
+
+    def __init__(self, file: typing.Any) -> None:
+        self.file = file
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line, with its end unless it is longer than limit bytes."""
+        line: bytes = self.file.readline(limit)
+        if len(line) < limit and not line.endswith(b"\n"):
+            raise http.client.RemoteDisconnected("the connection ended within the head")
+        return line
+
+    def close(self) -> None:
+        """Close the file that is read."""
+        self.file.close()
+
+
 class Response(http.client.HTTPResponse):
     """A response that survives silences, and detects bytes after its end, which the library would drop."""
 
@@ -84,6 +115,29 @@
         file = typing.cast(io.BufferedReader, self.fp).detach()
         self.fp = io.BufferedReader(WatchedReader(typing.cast(socket.SocketIO, file), sock, connection))
 
+    def begin(self) -> None:
+        """Read the head; raises RemoteDisconnected if it is cut off."""
+        file = self.fp
+        self.fp = typing.cast(io.BufferedReader, HeadLines(file))
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:  # the library closes it after a malformed status line
+                self.fp = file
+
+    def framing(self) -> Framing:
+        """Return what shows the end of the body, according to the head."""
+        if self._method == "HEAD" or self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
+            return Framing.NO_BODY
+        if self.chunked:
+            return Framing.CHUNKS
+        return Framing.CONNECTION if self.length is None else Framing.LENGTH
+
+    def end(self) -> None:
+        """Stop reading after the end of the body; from then on `has_surplus` says whether bytes followed it."""
+        if self.fp is not None:
+            self._close_conn()
+
     def _close_conn(self) -> None:
         try:
             file = self.fp
--- a/mothshed/http/reply.py
+++ b/mothshed/http/reply.py
@@ -1,6 +1,7 @@
-"""A replica's response: headers with an unambiguous body length, and a body that is streamed.
+"""A replica's response: headers that say unambiguously where its body ends, and a body that is streamed.
 
-A response that is truncated, ambiguously framed or longer than declared never counts as complete.
+A response that is truncated, ambiguously framed or longer than declared never counts as complete. A body without a
+length or chunks is complete at the end of its connection, if that is no reset.
 """
 
 import collections.abc
@@ -16,11 +17,12 @@
 import mothshed.http.http_client as http_client
 import mothshed.runtime.cancellation as cancellation_module
 
+Framing = connection_module.Framing
 LENGTH = re.compile(r"[0-9]{1,15}")
 
 
 def check_framing(raw: urllib3.BaseHTTPResponse) -> None:
-    """Raise ExchangeError unless the headers determine the end of the body unambiguously."""
+    """Raise ExchangeError if the headers say in several ways, or unclearly, where the body ends."""
     lengths = raw.headers.getlist("content-length")
     codings = [coding.lower() for coding in raw.headers.getlist("transfer-encoding")]
     if raw.status < 200:
@@ -29,8 +31,6 @@
         raise http_client.ExchangeError("head says in two ways where its body ends", True)
     if len(lengths) > 1 or lengths and not LENGTH.fullmatch(lengths[0]):
         raise http_client.ExchangeError("head says no clear length", True)
-    if not lengths and not codings and raw.status not in (204, 304):
-        raise http_client.ExchangeError("head is cut off or says no length", True)
 
 
 class Reply:
@@ -47,6 +47,8 @@
     ) -> None:
         self.pool, self.address, self.conn, self.sock, self.raw = pool, address, conn, sock, raw
         self.cancellation = cancellation
+        self.response = raw._original_response
+        self.framing = self.response.framing()
         self.status, self.reason, self.headers = raw.status, raw.reason or "", raw.headers
         self.complete = False
 
@@ -75,16 +77,10 @@
     def pieces(self) -> collections.abc.Iterator[bytes]:
         """Yield bytes as they arrive; raise ExchangeError unless the body is complete at its end."""
         try:
-            if self.raw.chunked:
+            if self.framing is Framing.CHUNKS:
                 yield from self.chunks()
-            else:
-                while True:
-                    piece = self.raw.read1(constants.SOCKET_READ_BYTES, decode_content=False)
-                    if not piece:
-                        break
-                    yield piece
-                if self.raw.length_remaining not in (0, None):
-                    raise http_client.ExchangeError("body is cut off", True)
+            elif self.framing is not Framing.NO_BODY:
+                yield from self.bytes_until_end()
         except http_client.ExchangeError:
             raise
         except (*http_client.TRANSPORT_ERRORS, AttributeError) as error:
@@ -96,7 +92,13 @@
         body = chunked.ChunkedBody(self.raw._fp.fp)
         while piece := body.read1(constants.SOCKET_READ_BYTES):
             yield piece
-        self.raw._fp.close()
+
+    def bytes_until_end(self) -> collections.abc.Iterator[bytes]:
+        """Yield the pieces of a body that ends at its length or with its connection; raises ExchangeError."""
+        while piece := self.raw.read1(constants.SOCKET_READ_BYTES, decode_content=False):
+            yield piece
+        if self.raw.length_remaining not in (0, None):
+            raise http_client.ExchangeError("body is cut off", True)
 
     def all(self, limit: int = constants.MAX_BODY_BYTES) -> bytes:
         """Read the whole body; raise ExchangeError if it is longer than limit bytes."""
@@ -114,8 +116,9 @@
         if self.conn:
             self.complete, conn, self.conn = True, self.conn, None
             self.cancellation.release()  # an earlier cancellation has shut down the connection: it is not reused
-            has_surplus = self.raw._original_response.has_surplus
-            self.pool.give_back(self.address, conn, {"connection": "close"} if has_surplus else self.headers)
+            self.response.end()
+            is_reusable = not self.response.has_surplus and self.framing is not Framing.CONNECTION
+            self.pool.give_back(self.address, conn, self.headers if is_reusable else {"connection": "close"})
 
     def close(self) -> None:
         """Abort the exchange; a replica that still works on it sees the connection close."""
--- a/tests/framed_replicas.py
+++ b/tests/framed_replicas.py
@@ -179,6 +179,8 @@
         data, ended_in_order = b"", False
         try:
             while True:
+                if data.split(b" ", 2)[1:2] in ([b"204"], [b"304"]):
+                    has_body = False
                 is_complete = b"\r\n\r\n" in data and (not has_body or parse(data, False).is_complete)
                 self.conn.settimeout(SURPLUS_S if is_complete else RESPONSE_S)
                 piece = self.conn.recv(65536)
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -14,6 +14,7 @@
 FIRST_EVENT_BYTES = len(framed.events_of("word")[0])
 BROKEN_RUN = {"break_after": FIRST_EVENT_BYTES}
 DECLARED = (Framing.LENGTH, Framing.CHUNKS)
+FRAMINGS = tuple(Framing)
 
 
 @pytest.fixture(scope="module")
@@ -25,7 +26,7 @@
 
 # Incident review/2 (MIXED): a resumed stream was cut at the length of its first run, and looked complete.
 @pytest.mark.parametrize("words", ["longer words", "w", "lord"])
-@pytest.mark.parametrize("further", DECLARED)
+@pytest.mark.parametrize("further", FRAMINGS)
 @pytest.mark.parametrize("first", DECLARED)
 def test_a_resumed_stream_is_whole_whatever_the_length_of_its_further_run(site, first, further, words):
     host, _replicas = framed.serve_runs(site, Run(first, **BROKEN_RUN), Run(further, words))
