A replica is listed together with its condition

Cause: ListedReplicas.update_list released the lock between the rows and the conditions.

Change: both halves under one hold of the lock; an endpoint is read under it.

--- a/mothshed/replicas/known_replicas.py
+++ b/mothshed/replicas/known_replicas.py
@@ -208,5 +208,6 @@
             self.own_requests[name] = max(0, self.own_requests.get(name, 0) - 1)
 
     def endpoint(self, name):
-        row = self.rows[name]
-        return Endpoint(name, row["url"], self.conditions[name]["c"]["engine"], row["cell"])
+        with self.lock:
+            row = self.rows[name]
+            return Endpoint(name, row["url"], self.conditions[name]["c"]["engine"], row["cell"])
--- a/mothshed/replicas/listed_replicas.py
+++ b/mothshed/replicas/listed_replicas.py
@@ -73,9 +73,9 @@
             self.reading = False
 
     def update_list(self, rows):
-        super().update_list(rows)
         now = self.environment.now()
-        with self.lock:
+        with self.lock:  # no other thread sees a row without its condition
+            super().update_list(rows)
             for name, row in rows.items():
                 self.conditions[name] = {
                     "at": now,
