A tenant over its limit is told a time at which its token is there

Seen: 429 for a caller that had waited as it was told (test_permits "time of its next token", twice in runs of all files beside load).

Cause: the leader says how long its next token takes from the moment at which it answers; a router counted that from the moment at which it had asked, so a request that was refused without asking was told a time that is too early by the way to the leader, and by up to half a millisecond more as it was rounded down.

Change: requests are refused without asking until the earliest possible time, as before, and told the latest one, rounded up.

That this was its cause is concluded, not seen.

--- a/mothshed/data_plane/permits.py
+++ b/mothshed/data_plane/permits.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 import threading
 import typing
 
@@ -50,10 +51,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class NextToken:
-    """When a rejected tenant gets its next token, by the leader's document of this sequence."""
+    """When a rejected tenant gets its next token, by the leader's document of this sequence.
+
+    The leader says how long that takes from the moment at which it answered, which lies between the request and its
+    answer: requests are refused without asking until the earliest time, and told the latest one.
+    """
 
     sequence: int
-    at: float
+    earliest_at: float
+    latest_at: float
 
 
 class Permits:
@@ -107,9 +113,9 @@
         known = self.next_tokens.get(tenant)
         if known is None:
             return
-        wait_s = known.at - self.environment.now()
-        if known.sequence == sequence and wait_s > 0:
-            raise over_limit_rejection(wait_s)
+        now = self.environment.now()
+        if known.sequence == sequence and now < known.earliest_at:
+            raise over_limit_rejection(known.latest_at - now)
         self.next_tokens.pop(tenant, None)
 
     def wait(self, waiter: Waiter, until: float, caller: typing.Any) -> None:
@@ -175,11 +181,12 @@
             sent_at = requests.sent_at.pop(mark, None)
             if sent_at is None:
                 return
-            requests.note_answer(self.environment.now() - sent_at)
+            now = self.environment.now()
+            requests.note_answer(now - sent_at)
             for tenant, (count, wait_s) in body["grants"].items():
                 self.assign_grants(requests, tenant, mark, count, wait_s)
                 if wait_s > 0:
-                    self.next_tokens[tenant] = NextToken(body["sequence"], sent_at + wait_s)
+                    self.next_tokens[tenant] = NextToken(body["sequence"], sent_at + wait_s, now + wait_s)
             if requests.pending_request == mark:
                 self.request_or_pause(part)
 
@@ -211,5 +218,6 @@
 
 def over_limit_rejection(retry_s: float) -> verdict.Rejection:
     """Return the rejection of a request beyond its tenant's limit."""
-    retry_s = max(constants.MIN_PERMIT_RETRY_AFTER_S, round(retry_s, 3))
+    retry_ms = math.ceil(retry_s * 1000)  # rounded up: a caller that comes sooner would be refused again
+    retry_s = max(constants.MIN_PERMIT_RETRY_AFTER_S, retry_ms / 1000)
     return verdict.Rejection(429, "the tenant's limit is reached", retry_s, "over_limit")
