Keepers that are killed in their first start still know that it is one

Cause: which keepers bootstrap the groups together is told by the settings of the first start only. A keeper killed before it had its group asked nobody for it afterwards.

Change: a keeper records the initial addresses, synced, before it has the id under which it could say anything, and forgets them once all its groups are on its disk. A keeper without the record no longer counts as empty: before, one whose disk was lost took part in the bootstrap, and a second group could be formed within a second of the first.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -6,6 +6,7 @@
 import mothshed.constants as constants
 import mothshed.control_plane.config_leader_task as config_leader_task
 import mothshed.control_plane.config_machine as config_machine
+import mothshed.control_plane.first_start as first_start
 import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.limit_bounds as limit_bounds
 import mothshed.control_plane.list_leader_task as list_leader_task
@@ -49,6 +50,8 @@
         self.waiting_for_disk = False  # whether a thread is retrying the failed disk
         self.journal = journal_module.Journal(environment.now)
         self.totals = self.journal.view(journal_module.Totals())
+        # recorded before there is an id under which anything could be said
+        self.first_start = first_start.FirstStart(disk, settings["first_keepers"])
         self.member_id = load_member_id(disk, settings["name"], token_hex)
         self.replicas = (
             listed_replicas.ListedReplicas(
@@ -71,6 +74,12 @@
         opened = [self.open_part(part) for part in range(constants.PART_COUNT)]
         self.members = [member for member, _ in opened]
         self.leader_tasks = [leader_task for _, leader_task in opened]
+        self.forget_first_start()
+
+    def forget_first_start(self) -> None:
+        """Forgets the first start once every group of this keeper is on its disk."""
+        if not any(member.log.is_empty for member in self.members):
+            self.first_start.forget()
 
     def open_part(self, part: int) -> tuple[member_module.Member, LeaderTask]:
         """Creates this keeper's member of a part from the disk, and the leader task of the part."""
@@ -85,12 +94,13 @@
             part,
             self.member_id,
             settings["http"],
-            settings["first_keepers"],
+            self.first_start.addresses,
             service_part.ServiceMachine() if part else config_machine.ConfigMachine(),
             self.gossip.keeper_addresses,
             failure_tolerance,
         )
         member.disk_fault_callback = self.disk_failed
+        member.bootstrap_callback = self.forget_first_start
         if not part:
             in_force = settings.get("in_force_s", constants.DEFAULT_ACTIVATION_DELAY_S)
             return member, config_leader_task.ConfigLeaderTask(member, lease_bounds.LeaseBounds(in_force))
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -42,6 +42,7 @@
         self.machine = machine  # apply(index, command), dump(), restore(state)
         self.failure_tolerance = failure_tolerance or reconfiguration.FailureTolerance()
         self.disk_fault_callback = lambda: None  # called after a disk fault has stopped this member
+        self.bootstrap_callback = lambda: None  # called once the first entry of a bootstrapped group is on the disk
         self.stopped_by_disk_fault = False
         self.leader_tasks = []  # started when this member becomes leader, stopped when it loses leadership
         self.log = disk_log.PartLog(disk, part)
--- a/mothshed/control_plane/reconfiguration.py
+++ b/mothshed/control_plane/reconfiguration.py
@@ -1,7 +1,8 @@
 """Bootstrap of a group, joining and leaving members, and changes of the voters.
 
-A group is bootstrapped only after every initial member has reported that it is empty. Any other member (a wiped
-one, a new one or one at a new address) asks to join; the leader replicates to it as a learner without a vote
+A group is bootstrapped only after every initial member has reported that it is empty; a member that is not an initial
+one, or no longer knows it, reports that of no log. Any other member (a wiped one, a new one or one at a new address)
+asks to join; the leader replicates to it as a learner without a vote
 until it holds all committed entries. membership.py decides which voters the group should have. A change takes
 two log entries, the joint and the final membership, and only one change runs at a time. A member that is being
 stopped announces it and is replaced, or removed where enough voters remain.
@@ -45,6 +46,11 @@
         self.leaving = self.may_stop = False  # whether this member is being stopped, and whether it may stop now
         self.last_join_request_at = -1e9
 
+    @property
+    def is_initial(self) -> bool:
+        """Whether this member starts the system together with the other initial ones."""
+        return self.address in self.initial_addresses
+
     def send_join_requests(self, now):
         if self.leaving:
             self.continue_leaving()
@@ -52,7 +58,7 @@
         if now - self.last_join_request_at < constants.JOIN_REQUEST_INTERVAL_S or self.is_leader:
             return
         self.last_join_request_at = now
-        if self.chart.state == "empty" and self.address in self.initial_addresses:
+        if self.chart.state == "empty" and self.is_initial:
             for address in self.initial_addresses:
                 self.environment.send(
                     address, "born_ask", part=self.part, who=self.member_id, address=self.address, http=self.http
@@ -77,7 +83,7 @@
             who=self.member_id,
             address=self.address,
             http=self.http,
-            empty=self.log.is_empty,
+            empty=self.log.is_empty and self.is_initial,
             members=first.get("members", {}),
         )
 
@@ -105,6 +111,7 @@
 
     def bootstrap(self, members):
         self.log.put([{"i": 1, "t": 0, "c": membership.Membership(members).command()}])
+        self.bootstrap_callback()
         if self.chart.state == "learner":
             self.refresh_membership()
             return
