State of the data plane that request threads share is changed under a lock

Seen by the review once in 37,000 requests: 502 "internal fault". Threads of requests record and forget parts in one PrefixCacheIndex without a lock.

Change: a lock in PrefixCacheIndex; a success is noted under the lock of the replicas, since an update of the list goes through the same table; reports of other routers are copied before they are gone through.

Measured: test_prefix_cache_threads failed 3 of 3 times before, test_list_updates "a request may succeed" 1 of 1; none now.

--- a/mothshed/data_plane/placement.py
+++ b/mothshed/data_plane/placement.py
@@ -61,7 +61,8 @@
     def reported(self, name: str) -> list[replica_load.ReplicaLoad]:
         """Loads that other routers reported for a replica within LOAD_TTL_S."""
         now = self.environment.now()
-        return [row[name] for at, row in self.remote_loads.values() if name in row and now - at < constants.LOAD_TTL_S]
+        reports = list(self.remote_loads.values())  # a copy: the caller may not hold the lock
+        return [row[name] for at, row in reports if name in row and now - at < constants.LOAD_TTL_S]
 
     def queued_by_rank(self, name: str) -> list[float]:
         """The same as queued_tokens, by rank."""
--- a/mothshed/data_plane/prefix_cache.py
+++ b/mothshed/data_plane/prefix_cache.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import hashlib
+import threading
 
 import mothshed.constants as constants
 
@@ -19,18 +20,23 @@
 
 
 class PrefixCacheIndex:
-    """The prompt parts that each replica is assumed to hold: those sent there last, up to a limit over all replicas."""
+    """The prompt parts that each replica is assumed to hold: those sent there last, up to a limit over all replicas.
+
+    The threads of all requests use one index.
+    """
 
     def __init__(self) -> None:
+        self.lock = threading.Lock()
         self.entries: collections.OrderedDict[tuple[str, str], bool] = collections.OrderedDict()  # (replica, part id)
 
     def add(self, name: str, parts: list[PromptPart]) -> None:
         """Record that a prompt of these parts was sent to a replica."""
-        for part_id, _tokens in parts:
-            self.entries[(name, part_id)] = True
-            self.entries.move_to_end((name, part_id))
-        while len(self.entries) > constants.MAX_KNOWN_PROMPT_PARTS:
-            self.entries.popitem(last=False)
+        with self.lock:
+            for part_id, _tokens in parts:
+                self.entries[(name, part_id)] = True
+                self.entries.move_to_end((name, part_id))
+            while len(self.entries) > constants.MAX_KNOWN_PROMPT_PARTS:
+                self.entries.popitem(last=False)
 
     def cached_tokens(self, name: str, parts: list[PromptPart]) -> int:
         """Tokens of the leading parts that a replica holds."""
@@ -43,5 +49,6 @@
 
     def forget(self, name: str) -> None:
         """Assume that a replica holds nothing any more."""
-        for entry in [entry for entry in self.entries if entry[0] == name]:
-            del self.entries[entry]
+        with self.lock:
+            for entry in [entry for entry in self.entries if entry[0] == name]:
+                del self.entries[entry]
--- a/mothshed/replicas/listed_replicas.py
+++ b/mothshed/replicas/listed_replicas.py
@@ -121,4 +121,5 @@
         )
 
     def mark_succeeded(self, name):
-        self.consecutive_failures.pop(name, None)
+        with self.lock:
+            self.consecutive_failures.pop(name, None)
