A request that may have run is sent again only if its newest route allows it

Seen by the review: a request was repeatable by the route under which it arrived, its later attempts are placed by the newest document, and that it was repeatable was never asked again. A stream that broke while its route stopped being `resumable` ran a second time.

Change: an attempt adopts the newest route, and one that is not repeatable, or of another kind, ends a request that may have run: 502 before its head, a visible break after it. Beside it: whether a decode replica may prefill itself asks for a replica's row before it knows that the replica is still listed; one that was gone ended the request with 502 "internal fault" (by reading; no test).

--- a/mothshed/data_plane/delivery_sends.py
+++ b/mothshed/data_plane/delivery_sends.py
@@ -201,10 +201,9 @@
         """
         if not (self.handle and error.rejected and error.verdict is NOT_RUN):
             return False
-        has_room = (
-            self.router.placement.running(pair.decode_replica.name)
-            <= self.router.replicas.rows[pair.decode_replica.name]["slots"]
-        )
+        name = pair.decode_replica.name
+        row = self.router.replicas.rows.get(name)
+        has_room = row is not None and self.router.placement.running(name) <= row["slots"]
         return has_room and self.is_available(pair.decode_replica) and self.pay(1)
 
     def drop_handle(self, error: verdict.SendFailure) -> None:
--- a/mothshed/data_plane/placement_wait.py
+++ b/mothshed/data_plane/placement_wait.py
@@ -64,7 +64,7 @@
         route = table.match(self.request.host, self.request.target)
         if route is None:
             raise verdict.Rejection(404, "no route")
-        self.route = route
+        self.adopt_route(route)
         caller_identity = self.request.identity = identity.identify(
             document, table.keys, route, self.request.key_digest
         )
@@ -81,6 +81,14 @@
             return PlacementFailure("queues are full", max(constants.MIN_QUEUE_FULL_RETRY_AFTER_S, error.excess_s))
         return pair or PlacementFailure("no replica", constants.ROUTE_RETRY_AFTER_S)
 
+    def adopt_route(self, route: routes.Route) -> None:
+        """Go by the route of the newest document; raises SendFailure if that allows no further run of the request."""
+        same_kind = route["kind"] == self.route["kind"]
+        self.repeatable = self.repeatable and same_kind and routes.is_repeatable(route)
+        self.route = route
+        if self.may_have_run and not self.repeatable:
+            self.abandon("the route allows no further run")
+
     def record_late_start(self) -> None:
         """Count a response that starts later than its aim, by the stage that took longest."""
         aim_s = self.request.route.get("aim_s")
--- a/mothshed/data_plane/routes.py
+++ b/mothshed/data_plane/routes.py
@@ -14,6 +14,8 @@
 
 import mothshed.configuration.tenant_keys as tenant_keys
 
+Route = dict[str, typing.Any]  # a row of the document's routes
+
 
 class RouteTable:
     """The routes and keys of one document. previous: the table of another one, whose unchanged parts are reused."""
@@ -31,9 +33,9 @@
         return next((row for row in rows if path.startswith(row["prefix"])), None)
 
 
-def routes_by_host(routes: list[dict[str, typing.Any]]) -> dict[str, list[dict[str, typing.Any]]]:
+def routes_by_host(routes: list[Route]) -> dict[str, list[Route]]:
     """Routes by host in lower case, those with the longest prefix first."""
-    hosts: dict[str, list[dict[str, typing.Any]]] = {}
+    hosts: dict[str, list[Route]] = {}
     for row in routes:
         hosts.setdefault(row["host"].lower(), []).append(row)
     for rows in hosts.values():
@@ -57,8 +59,8 @@
 
 
 def plan_is_current(
-    route: dict[str, typing.Any],
-    newer_route: dict[str, typing.Any] | None,
+    route: Route,
+    newer_route: Route | None,
     pool: str,
     selector: dict[str, str],
     document: dict[str, typing.Any],
@@ -76,8 +78,9 @@
     return any(row["pool"] == pool and row["share"] for row in newer_route["pools"])
 
 
-def is_repeatable(route):
-    return route["kind"] == "safe" or route["kind"] == "stream" and route["resumable"]
+def is_repeatable(route: Route) -> bool:
+    """Whether a request of a route may run more than once."""
+    return bool(route["kind"] == "safe" or route["kind"] == "stream" and route["resumable"])
 
 
 def choose_pool(route, random):
