SIGHUP while a daemon starts is kept until it can be acted on

A signal that came before they serve is acted on then. What stays: the time in which Python itself starts, and the commands mothshed-route and mothshed-keep, which install it with their other handlers.

--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -14,6 +14,7 @@
 import mothshed.constants as constants
 import mothshed.http.http_server as http_server
 import mothshed.programs.environment as environment_module
+import mothshed.programs.reload_signal as reload_signal
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.runtime.timers as timers
 import mothshed.storage.disk as disk_module
@@ -73,13 +74,13 @@
             sys.exit(1)
         stop_requested.set()
 
-    def on_reload_signal(number, frame):
+    def on_reload() -> None:
         try:
             reload_settings()
         except settings_module.SettingsError as error:  # the previous settings stay in force
             log_buffer.note("settings_unreadable", reason=str(error))
 
-    signal.signal(signal.SIGHUP, on_reload_signal)
+    reload_signal.RELOAD_SIGNAL.serve(on_reload)
     signal.signal(signal.SIGTERM, on_stop_signal)
     signal.signal(signal.SIGINT, on_stop_signal)
     try:
--- /dev/null
+++ b/tests/test_reload_signal.py
@@ -0,0 +1,51 @@
+"""SIGHUP while a daemon starts: it ends nothing, and the settings are read again once the daemon serves."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+
+import mothshed.programs.reload_signal as reload_signal
+import tests.platform_site as platform_site
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+# Guards against a daemon that is ended by a change of its settings because it has not started yet.
+@pytest.mark.parametrize("role", ["route", "keep"])
+def test_a_signal_before_the_settings_are_read_ends_nothing(tmp_path, role):
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / "platform" / "start.py"), role],
+        env={**os.environ, "MOTHSHED_SETTINGS": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    try:
+        with open(path, "w") as settings:  # opened once the process reads its settings
+            process.send_signal(signal.SIGHUP)
+            with pytest.raises(subprocess.TimeoutExpired):
+                process.wait(0.3)
+            settings.write("{}")
+        assert process.wait(10) == 2 and b"settings are not valid" in process.stderr.read()
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def test_a_signal_before_the_daemon_serves_is_acted_on_then():
+    found, calls, usual = reload_signal.ReloadSignal(), [], signal.getsignal(signal.SIGHUP)
+    try:
+        found.install()
+        os.kill(os.getpid(), signal.SIGHUP)
+        platform_site.wait_until(lambda: found.is_pending)
+        found.serve(lambda: calls.append("reload"))
+        assert calls == ["reload"]
+        os.kill(os.getpid(), signal.SIGHUP)
+        platform_site.wait_until(lambda: len(calls) == 2)
+    finally:
+        signal.signal(signal.SIGHUP, usual)
