--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -32,14 +32,20 @@
         group.check()
 
 
+def started_group(steps):
+    """Return a group after so many steps of its first start."""
+    group = first_start_group.FirstStartGroup()
+    for _step in range(steps):
+        advance(group)
+    return group
+
+
 # Incident review/3 (CONFIG): keepers that were killed in their first start never formed their groups.
 @pytest.mark.parametrize("power_loss", [False, True])
 @pytest.mark.parametrize("killed", ["A", "B", "C", "AB", "AC", "BC", "ABC"])
 @pytest.mark.parametrize("step", range(MAX_FORMING_STEPS))
 def test_keepers_killed_at_any_step_of_their_first_start_form_their_group(step, killed, power_loss):
-    group = first_start_group.FirstStartGroup()
-    for _step in range(step):
-        advance(group)
+    group = started_group(step)
     for name in killed:
         (group.crash if power_loss else group.kill)(name)
     for _step in range(3):
@@ -51,9 +57,7 @@
 @pytest.mark.parametrize("later", range(1, 8, 2))
 @pytest.mark.parametrize("step", range(0, 24, 3))
 def test_keepers_killed_again_and_again_in_their_first_start_form_their_group(step, later):
-    group = first_start_group.FirstStartGroup()
-    for _step in range(step):
-        advance(group)
+    group = started_group(step)
     for names in ("AB", "BC", "ABC", "A"):
         for name in names:
             group.kill(name)
@@ -106,9 +110,7 @@
 
 @pytest.mark.parametrize("step", range(0, MAX_FORMING_STEPS, 2))
 def test_a_keeper_that_lost_its_disk_takes_no_part_in_forming_a_group(step):
-    group = first_start_group.FirstStartGroup()
-    for _step in range(step):
-        advance(group)
+    group = started_group(step)
     group.wipe("A")
     group.boot("A")
     while any(message[1] == group.address("A") for message in group.pool.waiting):  # what it said before
@@ -121,9 +123,7 @@
 
 @pytest.mark.parametrize("step", range(0, MAX_FORMING_STEPS, 2))
 def test_a_keeper_back_at_another_address_forms_no_second_group(step):
-    group = first_start_group.FirstStartGroup()
-    for _step in range(step):
-        advance(group)
+    group = started_group(step)
     group.move("A")
     for _step in range(3):
         advance(group)
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -159,6 +159,31 @@
     assert response.is_complete and response.surplus == b"" and len(asked) == 2
 
 
+# Guards against the same where the first run breaks while the hedge is still waited for.
+@pytest.mark.parametrize("first", DECLARED)
+def test_a_stream_that_adopts_its_hedge_after_a_break_is_whole(site, first):
+    host, replicas = framed.serve_runs(site, Run(Framing.LENGTH, "longer words"), legs="dd", tries=2)
+    usual_runs, asked = {replica.name: replica.run for replica in replicas}, []
+
+    for replica in replicas:
+
+        def run(conn, request, fault, headers, replica=replica):
+            asked.append(replica)
+            if len(asked) == 2:
+                time.sleep(0.3)  # the first run has broken off
+                return usual_runs[replica.name](conn, request, fault, headers)
+            fields = [*headers, ("Postmark", "stamp.0")]
+            head, pieces = framed.head_and_body(Run(first), fields, framed.events_of("word"))
+            conn.sendall(head + pieces[0])
+            platform_site.wait_until(lambda: len(asked) == 2)
+            return False
+
+        replica.run = run
+    _id, response = framed.ask(site, host)
+    assert response.body == framed.body_of("word", last=1) + framed.body_of("longer words", first=2)
+    assert response.is_complete and response.surplus == b"" and len(asked) == 2
+
+
 # Guards against a hedge whose response belongs under another head, and that ends a stream whose replica only rests.
 def test_a_hedge_that_can_not_follow_the_head_does_not_end_the_first_run(site):
     host, replicas = framed.serve_runs(site, Run(content_type="application/json"), legs="dd", tries=2)
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -58,7 +58,7 @@
     assert resting.is_whole(answer) and [run["after"] for run in runs] == [0, max(0, moment - 1)]
     assert answer.headers["Postmark"] == runs[0 if moment == resting.BETWEEN_EVENTS else 1]["stamp"]
     assert answer.duration_s < 2.2
-    platform_site.wait_until(lambda: first[0].left == 1)  # counted by the replica's own thread
+    platform_site.wait_until(lambda: first[0].left == 1, 0.5)  # counted by the replica's own thread
     resting.check_nothing_is_left(site, replicas)
 
 
@@ -120,7 +120,7 @@
     replicas[0].always = {"silent": True}
     request_id, answer = site.ask(host)
     assert resting.is_whole(answer) and len(site.platform.ran(request_id)) == 1
-    platform_site.wait_until(lambda: replicas[0].left == 1)
+    platform_site.wait_until(lambda: replicas[0].left == 1, 0.5)
     assert answer.duration_s < constants.MIN_PREFILL_TIMEOUT_S + 0.8
     resting.check_nothing_is_left(site, replicas)
 
