--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -50,6 +50,7 @@
         self.waiting_for_disk = False  # whether a thread is retrying the failed disk
         self.journal = journal_module.Journal(environment.now)
         self.totals = self.journal.view(journal_module.Totals())
+        self.counters_report = counters.CountersReport(environment, self.totals, environment.figures)
         # recorded before there is an id under which anything could be said
         self.first_start = first_start.FirstStart(disk, settings["first_keepers"])
         self.member_id = load_member_id(disk, settings["name"], token_hex)
@@ -153,7 +154,7 @@
         self.replicas.run()
         for member in self.members:
             member.start()
-        counters.CountersReport(self.environment, self.totals, self.environment.figures).run()
+        self.counters_report.run()
 
     def front(self, handler_class=operator_api.OperatorApi):
         return http_server.Server(self.settings["http"], handler_class(self), constants.OPERATOR_SERVER_THREADS)
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -37,6 +37,7 @@
         self.zone = settings["cell"]
         self.journal = journal_module.Journal(environment.now)
         self.totals = self.journal.view(journal_module.Totals())
+        self.counters_report = counters.CountersReport(environment, self.totals, environment.figures)
         self.replicas = (
             listed_replicas.ListedReplicas(
                 environment,
@@ -79,7 +80,7 @@
         """Start the background tasks."""
         self.replicas.run()
         self.environment.spawn(self.handle_releases.run)
-        counters.CountersReport(self.environment, self.totals, self.environment.figures).run()
+        self.counters_report.run()
 
     @contextlib.contextmanager
     def waiting_for_decode(self):
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -31,7 +31,7 @@
     keeper = keeper_module.Keeper(new_environment(), settings, new_environment, serving.open_disk(settings["data"]))
     log_buffer.attach_journal(keeper.journal)
     keeper.run()
-    serving.serve(keeper.front(), keeper.drain)
+    serving.serve(keeper.front(), keeper.drain, keeper.counters_report.report_now)
 
 
 def main():
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -31,7 +31,11 @@
     router = router_module.Router(serving.environment_factory(settings)(), settings)
     log_buffer.attach_journal(router.journal)
     router.run()
-    serving.serve(router.front(), lambda: router.drain(settings.get("drain_s", constants.DRAIN_TIMEOUT_S)))
+    serving.serve(
+        router.front(),
+        lambda: router.drain(settings.get("drain_s", constants.DRAIN_TIMEOUT_S)),
+        router.counters_report.report_now,
+    )
 
 
 def main():
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -15,6 +15,7 @@
 import mothshed.http.http_server as http_server
 import mothshed.programs.environment as environment_module
 import mothshed.programs.reload_signal as reload_signal
+import mothshed.runtime.clock as clock
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.runtime.timers as timers
 import mothshed.storage.disk as disk_module
@@ -65,7 +66,7 @@
             sleep(constants.DISK_RETRY_INTERVAL_S)
 
 
-def serve(server, stop, reload_settings=lambda: None):
+def serve(server, stop, report_counters, reload_settings=lambda: None):
     """Serve until SIGTERM or SIGINT, then call stop(); a second signal exits at once. SIGHUP: reload_settings()."""
     stop_requested = threading.Event()
 
@@ -89,7 +90,17 @@
         raise DaemonExit(3, f"cannot listen on {server.bind_addr}: {error}") from error
     threading.Thread(target=server.serve, daemon=True).start()
     stop_requested.wait()
-    completed = stop()
+    completed = report_stop(stop, report_counters)
     server.stop()
     sys.stdout.flush()
     raise DaemonExit(0 if completed else 1)
+
+
+def report_stop(stop: collections.abc.Callable[[], bool], report_counters: collections.abc.Callable[[], None]) -> bool:
+    """Call stop() and return its result; log its begin, its end, and the counters since their last line."""
+    begun_at = clock.now()
+    log_buffer.report("stop_begun")
+    completed = stop()
+    report_counters()
+    log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3))
+    return completed
--- a/mothshed/runtime/counters.py
+++ b/mothshed/runtime/counters.py
@@ -1,6 +1,7 @@
 """Reports the counters of a process in one log line per interval while they change."""
 
 import collections.abc
+import threading
 import typing
 
 import mothshed.constants as constants
@@ -19,6 +20,7 @@
     def __init__(self, timers: typing.Any, totals: journal.Totals, gauges: ReadGauges = dict) -> None:
         self.timers, self.totals, self.gauges = timers, totals, gauges
         self.reported: dict[str, int] = {}
+        self.lock = threading.Lock()
 
     def run(self) -> None:
         """Start the reports; the first one is due after one interval."""
@@ -26,14 +28,19 @@
 
     def report_changes(self) -> None:
         """Report the increments, if any, and schedule the next report."""
+        self.report_now()
+        self.timers.call_later(constants.COUNTERS_INTERVAL_S, self.report_changes)
+
+    def report_now(self) -> None:
+        """Report the increments since the last line, if any, as before the end of a process."""
         increments = self.take_increments()
         if increments:
             log_buffer.report("counters", **increments, **self.gauges())
-        self.timers.call_later(constants.COUNTERS_INTERVAL_S, self.report_changes)
 
     def take_increments(self) -> dict[str, int]:
         """Return the increment of each changed counter since the last call, by name."""
-        counts = dict(self.totals.counts)
-        grown = {name: count - self.reported.get(name, 0) for name, count in counts.items()}
-        self.reported = counts
+        with self.lock:
+            counts = dict(self.totals.counts)
+            grown = {name: count - self.reported.get(name, 0) for name, count in counts.items()}
+            self.reported = counts
         return {name: count for name, count in sorted(grown.items()) if count}
--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -129,13 +129,12 @@
         hosts = [f"{base}.{number + 1}" for number in range(keepers + routers)]
         self.port = fleet.free_port(hosts[0])
         self.gates = {name: fleet.free_port(hosts[0]) for name in ("signal_box", "counter", "readiness")}
-        self.edition = 0
+        self.edition, seeds = 0, hosts[: min(3, keepers)]
         self.stops: list[Stop] = []
-        self.keepers = [self.node(f"keep-{n + 1}", "keep", host, hosts) for n, host in enumerate(hosts[:keepers])]
-        self.routers = [self.node(f"route-{n + 1}", "route", host, hosts) for n, host in enumerate(hosts[keepers:])]
-        self.keeper_count = keepers
+        self.keepers = [self.node(f"keep-{n + 1}", "keep", host, seeds) for n, host in enumerate(hosts[:keepers])]
+        self.routers = [self.node(f"route-{n + 1}", "route", host, seeds) for n, host in enumerate(hosts[keepers:])]
 
-    def node(self, name: str, role: str, host: str, hosts: list[str]) -> Node:
+    def node(self, name: str, role: str, host: str, seeds: list[str]) -> Node:
         """Write the settings of one program."""
         keeps = role == "keep"
         data = self.folder / f"data-{name}"
@@ -148,7 +147,7 @@
             "zone": "a",
             "gates": {gate: f"{host}:{self.gates[gate]}" for gate in gates},
             "port_range": [self.port, self.port + 9],
-            "seed_nodes": [f"{other}:{self.gates['signal_box']}" for other in hosts[:3]],
+            "seed_nodes": [f"{other}:{self.gates['signal_box']}" for other in seeds],
             "first_run": True,
             "data_path": str(data) if keeps else None,
             "withstand": {"machine_loss": 1},
