A stop that has begun is gone through, whatever further signals come

What callers saw: a router that got SIGTERM twice, SIGINT beside it or SIGHUP in its stop served on without a 503, and its streams, also those sent 5 s after the signal, were cut by the SIGKILL at the end of the grace time (LOST). A keeper left its groups half-way. Cause: the handler of a second signal raised SystemExit in the main thread, in the middle of the drain; the server's threads live on, so the process did too. SIGHUP was acted on in the handler, so it interrupted the drain as well.

Change: handlers only note a signal, the main thread acts on it when it waits for one (programs/daemon_signals.py). They are installed before the daemon has work to hand over, so that a signal during the start is kept. It works because nothing can interrupt the main thread's stop any more.

--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -7,6 +7,7 @@
 
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.programs.daemon_flags as daemon_flags
+import mothshed.programs.daemon_signals as daemon_signals
 import mothshed.programs.serving as serving
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -30,12 +31,14 @@
     new_environment = serving.environment_factory(settings)
     keeper = keeper_module.Keeper(new_environment(), settings, new_environment, serving.open_disk(settings["data"]))
     log_buffer.attach_journal(keeper.journal)
+    daemon_signals.DAEMON_SIGNALS.install_stop()
     keeper.run()
     serving.serve(keeper.front(), keeper.drain, keeper.counters_report.report_now)
 
 
 def main():
     """Run the command."""
+    daemon_signals.DAEMON_SIGNALS.install_reload()
     cappa.invoke(Keep)
 
 
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -8,6 +8,7 @@
 import mothshed.constants as constants
 import mothshed.data_plane.router as router_module
 import mothshed.programs.daemon_flags as daemon_flags
+import mothshed.programs.daemon_signals as daemon_signals
 import mothshed.programs.serving as serving
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -30,6 +31,7 @@
     """Run a router until a signal stops it; raises serving.DaemonExit."""
     router = router_module.Router(serving.environment_factory(settings)(), settings)
     log_buffer.attach_journal(router.journal)
+    daemon_signals.DAEMON_SIGNALS.install_stop()
     router.run()
     serving.serve(
         router.front(),
@@ -40,6 +42,7 @@
 
 def main():
     """Run the command."""
+    daemon_signals.DAEMON_SIGNALS.install_reload()
     cappa.invoke(Route)
 
 
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import signal
 import sys
 import threading
 import time
@@ -13,8 +12,8 @@
 import mothshed.configuration.settings as settings_module
 import mothshed.constants as constants
 import mothshed.http.http_server as http_server
+import mothshed.programs.daemon_signals as daemon_signals
 import mothshed.programs.environment as environment_module
-import mothshed.programs.reload_signal as reload_signal
 import mothshed.runtime.clock as clock
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.runtime.timers as timers
@@ -67,29 +66,20 @@
 
 
 def serve(server, stop, report_counters, reload_settings=lambda: None):
-    """Serve until SIGTERM or SIGINT, then call stop(); a second signal exits at once. SIGHUP: reload_settings()."""
-    stop_requested = threading.Event()
+    """Serve until SIGTERM or SIGINT, then call stop(), whatever other signals come. SIGHUP: reload_settings()."""
 
-    def on_stop_signal(number, frame):
-        if stop_requested.is_set():
-            sys.exit(1)
-        stop_requested.set()
-
-    def on_reload() -> None:
+    def reload() -> None:
         try:
             reload_settings()
         except settings_module.SettingsError as error:  # the previous settings stay in force
             log_buffer.note("settings_unreadable", reason=str(error))
 
-    reload_signal.RELOAD_SIGNAL.serve(on_reload)
-    signal.signal(signal.SIGTERM, on_stop_signal)
-    signal.signal(signal.SIGINT, on_stop_signal)
     try:
         server.prepare()
     except OSError as error:
         raise DaemonExit(3, f"cannot listen on {server.bind_addr}: {error}") from error
     threading.Thread(target=server.serve, daemon=True).start()
-    stop_requested.wait()
+    daemon_signals.DAEMON_SIGNALS.wait_for_stop(reload)
     completed = report_stop(stop, report_counters)
     server.stop()
     sys.stdout.flush()
--- a/tests/stop_callers.py
+++ b/tests/stop_callers.py
@@ -12,6 +12,7 @@
 
 LENGTHS = (24, 70, 170)  # events of a stream
 DEADLINE_S = 20.0
+CALLERS = 8  # of a router, in the tests of single stops
 RECONNECT_INTERVAL_S = 0.05
 NUMBERS = itertools.count(1)
 
--- a/tests/test_reload_signal.py
+++ b/tests/test_reload_signal.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-import mothshed.programs.reload_signal as reload_signal
-import tests.platform_site as platform_site
+import mothshed.programs.daemon_signals as daemon_signals
+import mothshed.runtime.clock as clock
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -38,14 +38,16 @@
 
 
 def test_a_signal_before_the_daemon_serves_is_acted_on_then():
-    found, calls, usual = reload_signal.ReloadSignal(), [], signal.getsignal(signal.SIGHUP)
+    found, calls = daemon_signals.DaemonSignals(), []
+    usual = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)}
     try:
-        found.install()
+        found.install_reload()
         os.kill(os.getpid(), signal.SIGHUP)
-        platform_site.wait_until(lambda: found.is_pending)
-        found.serve(lambda: calls.append("reload"))
-        assert calls == ["reload"]
+        found.install_stop()
         os.kill(os.getpid(), signal.SIGHUP)
-        platform_site.wait_until(lambda: len(calls) == 2)
+        os.kill(os.getpid(), signal.SIGTERM)
+        requested_at = found.wait_for_stop(lambda: calls.append("reload"))
+        assert calls == ["reload", "reload"] and 0 <= clock.now() - requested_at < 60
     finally:
-        signal.signal(signal.SIGHUP, usual)
+        for number, handler in usual.items():
+            signal.signal(number, handler)
