All times of a stop follow from the grace time, and a router ends by itself within it

The drain gave up 6.3 s after the signal whatever the grace time, then the library's stop closed idle connections and waited for its threads without a limit. Last counters and log lines were lost, nothing was said or freed after the kill, replicas worked on, and for 6 s of grace the drain ended before the last sixth began. On a slow machine the linger time of 2.8 s was counted from when the main thread got to it, so a request that was sent later than 3 s after the signal could be taken.

Change: runtime/stop_schedule.py gives the times for a grace time: new requests until 2.5 s (five eighths, if less) after the moment at which the handler ran, checked with each request; what runs is cut after seven eighths, through the cancellation of its caller, so that its replica sees it at once, its handle is queued for release and a request without a head still gets 502, or 503 where it was not sent; the process ends after fifteen sixteenths in any case (os._exit by a timer, as threads may hang). The adapter passes the grace time on and decides nothing; drain_s and linger_s hold where no grace time is set. Keepers wait seven sixteenths, 3.5 s of 8 as before.

--- a/mothshed/configuration/settings.py
+++ b/mothshed/configuration/settings.py
@@ -69,6 +69,7 @@
         voluptuous.Optional("limit_slack"): voluptuous.All(
             voluptuous.Any(int, float), voluptuous.Range(min=0, max=1000000)
         ),
+        voluptuous.Optional("grace_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=1, max=600)),
         voluptuous.Optional("linger_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60)),
         voluptuous.Optional("drain_s"): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=600)),
     },
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -22,6 +22,7 @@
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal_module
 import mothshed.runtime.log_buffer as log_buffer
+import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.storage.disk as disk_module
 import mothshed.transport.gossip as gossip
 import mothshed.transport.known_addresses as known_addresses
@@ -165,12 +166,12 @@
         member.environment.post(lambda: (results.append(callback()), event.set()))
         return results[0] if event.wait(constants.MAILBOX_CALL_TIMEOUT_S) else None
 
-    def drain(self):
+    def drain(self, schedule: stop_schedule.StopSchedule, _begun_at: float = 0.0) -> bool:
         """Leaves all groups and transfers every leadership; returns whether no member leads any more."""
         for member in self.members:
             self.call_in_mailbox(member, member.leave)
         self.environment.sleep(2 * constants.HEARTBEAT_INTERVAL_S)
-        deadline = self.environment.now() + self.settings.get("drain_s", constants.DEFAULT_LEAVE_TIMEOUT_S)
+        deadline = self.environment.now() + schedule.leave_s
         while self.environment.now() < deadline and not all(member.may_stop for member in self.members):
             self.environment.sleep(constants.HEARTBEAT_INTERVAL_S)
         return not any(member.is_leader for member in self.members)
--- a/mothshed/data_plane/delivery.py
+++ b/mothshed/data_plane/delivery.py
@@ -136,6 +136,10 @@
         self.ended = True
         raise verdict.SendFailure(NOT_RUN, reason)
 
+    def was_sent(self) -> bool:
+        """Whether a decode of this request was sent to a replica, so that it may have run."""
+        return self.may_have_run or self.counts.decodes > 0
+
     def may_retry(self):
         if self.ended or self.may_have_run and not self.repeatable or self.environment.now() >= self.request.deadline:
             return False
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -57,6 +57,7 @@
         router, caller = self.router, environ.get("mothshed.caller") or caller_module.Caller()
         arrived_at = self.environment.now() if caller.arrived is None else caller.arrived
         if not router.begin_request():
+            self.router.journal.add("refusal", outcome="stopping")
             return self.error_response(start_response, 503, "this router is stopping", constants.ROUTE_RETRY_AFTER_S)
         delivery = None
         try:
@@ -65,6 +66,8 @@
             response_start = delivery.start()
         except BaseException as error:
             router.end_request()
+            if router.cutting and isinstance(error, verdict.CallerDisconnected):
+                return self.cut_response(start_response, delivery)
             return self.failure_response(start_response, error, delivery.request.id if delivery else "")
         reply, may_be_resumed = response_start.reply, delivery.may_be_resumed(response_start)
         headers = response_start_module.headers_for_client(response_start, request.method, may_be_resumed)
@@ -124,6 +127,16 @@
             start_response, status, reason, verdict=code, retry_after_s=retry, headers=headers
         )
 
+    def cut_response(
+        self, start_response: http_server.StartResponse, delivery: delivery_module.Delivery | None
+    ) -> list[bytes]:
+        """Respond to a request that the stop of this router has cut before the head of its response."""
+        request_id = delivery.request.id if delivery else ""
+        self.router.journal.add("delivery", outcome="cut", request=request_id)
+        if delivery and delivery.was_sent():
+            return self.error_response(start_response, 502, "this router is stopping", 0, "may_have_run")
+        return self.error_response(start_response, 503, "this router is stopping", constants.ROUTE_RETRY_AFTER_S)
+
     def failure_response(self, start_response, error, request_id):
         add = functools.partial(self.router.journal.add, request=request_id)
         if isinstance(error, http_server.BodyError):
@@ -181,6 +194,8 @@
             self.delivery.release()
             self.delivery.record_long_pauses()
             self.router.end_request()
+            if self.outcome == "left" and self.router.cutting:
+                self.outcome = "cut"
             self.router.journal.add(
                 "delivery", outcome=self.outcome, reason=self.reason, request=self.delivery.request.id
             )
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -25,6 +25,7 @@
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal_module
+import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.transport.gossip as gossip
 
 
@@ -73,7 +74,8 @@
         )
         self.in_flight = 0
         self.handles_waiting = 0  # KV handles whose requests wait for a free decode slot
-        self.stopping = self.leaving = False
+        self.stopping = self.leaving = self.cutting = False
+        self.accept_until = float("inf")  # no request is taken later, on the environment's clock
         self.lock = threading.Lock()
 
     def run(self):
@@ -96,7 +98,7 @@
     def begin_request(self):
         """Count one more request in flight; False once this router takes no new requests."""
         with self.lock:
-            if self.stopping:
+            if self.stopping or self.environment.now() >= self.accept_until:
                 return False
             self.in_flight += 1
             return True
@@ -115,19 +117,36 @@
             raise verdict.CallerDisconnected()
         return self.lease.current()
 
-    def drain(self, timeout_s):
-        """Serve for the linger time, then accept nothing new and wait; True if all work ended before the timeout."""
+    def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
+        """Complete the work, and cut what takes too long; return whether all of it was completed.
+
+        begun_at: time of the signal. New requests are taken until `accept_s` after it; returns by `exit_s` after it.
+        """
+        self.accept_until = begun_at + schedule.accept_s
         self.leaving = True
-        self.environment.sleep(self.settings.get("linger_s", 0))
+        self.environment.sleep(max(0.0, self.accept_until - self.environment.now()))
         with self.lock:
             self.stopping = True
-        deadline = self.environment.now() + timeout_s
-        while self.environment.now() < deadline:
-            if not self.is_busy():
-                return True
-            self.environment.sleep(constants.PLACEMENT_INTERVAL_S)
+        if self.wait_until_idle(begun_at + schedule.cut_s):
+            return True
+        self.cut_requests()
+        self.wait_until_idle(begun_at + schedule.exit_s)
         return False
 
+    def wait_until_idle(self, deadline: float) -> bool:
+        """Wait until no work is in progress, up to a time of the environment's clock; return whether none is."""
+        while self.is_busy():
+            if self.environment.now() >= deadline:
+                return False
+            self.environment.sleep(constants.STOP_CHECK_INTERVAL_S)
+        return True
+
+    def cut_requests(self) -> None:
+        """End the requests in progress, at their replicas too; their user agents see an incomplete response."""
+        self.cutting = True
+        if self.server is not None:
+            self.server.cancel_requests()
+
     def is_busy(self):
         """Whether a request or its response is in progress, or a handle release is pending."""
         return (
--- a/mothshed/http/http_server.py
+++ b/mothshed/http/http_server.py
@@ -233,6 +233,12 @@
             if conn.caller:
                 conn.caller.cancellation.cancel()
 
+    def cancel_requests(self) -> None:
+        """Cancel the requests that are being served, as if their callers had disconnected."""
+        for conn in list(self.active_connections):
+            if conn.caller:
+                conn.caller.cancellation.cancel()
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Keep the library's log messages in the log buffer."""
         log_buffer.note("http_server", message=msg)
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -33,7 +33,7 @@
     log_buffer.attach_journal(keeper.journal)
     daemon_signals.DAEMON_SIGNALS.install_stop()
     keeper.run()
-    serving.serve(keeper.front(), keeper.drain, keeper.counters_report.report_now)
+    serving.serve(keeper.front(), keeper)
 
 
 def main():
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -5,7 +5,6 @@
 
 import cappa
 
-import mothshed.constants as constants
 import mothshed.data_plane.router as router_module
 import mothshed.programs.daemon_flags as daemon_flags
 import mothshed.programs.daemon_signals as daemon_signals
@@ -33,11 +32,7 @@
     log_buffer.attach_journal(router.journal)
     daemon_signals.DAEMON_SIGNALS.install_stop()
     router.run()
-    serving.serve(
-        router.front(),
-        lambda: router.drain(settings.get("drain_s", constants.DRAIN_TIMEOUT_S)),
-        router.counters_report.report_now,
-    )
+    serving.serve(router.front(), router)
 
 
 def main():
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -5,9 +5,11 @@
 """
 
 import collections.abc
+import os
 import sys
 import threading
 import time
+import typing
 
 import mothshed.configuration.settings as settings_module
 import mothshed.constants as constants
@@ -15,7 +17,9 @@
 import mothshed.programs.daemon_signals as daemon_signals
 import mothshed.programs.environment as environment_module
 import mothshed.runtime.clock as clock
+import mothshed.runtime.counters as counters
 import mothshed.runtime.log_buffer as log_buffer
+import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.runtime.timers as timers
 import mothshed.storage.disk as disk_module
 import mothshed.transport.peers as peers
@@ -65,8 +69,23 @@
             sleep(constants.DISK_RETRY_INTERVAL_S)
 
 
-def serve(server, stop, report_counters, reload_settings=lambda: None):
-    """Serve until SIGTERM or SIGINT, then call stop(), whatever other signals come. SIGHUP: reload_settings()."""
+class Daemon(typing.Protocol):
+    """What `serve` needs of a router or a keeper."""
+
+    settings: dict[str, typing.Any]
+    counters_report: counters.CountersReport
+
+    def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
+        """Complete or hand over the work, until `exit_s` after begun_at at most; return whether nothing was left."""
+
+
+def serve(
+    server: http_server.Server, daemon: Daemon, reload_settings: collections.abc.Callable[[], None] = lambda: None
+) -> typing.NoReturn:
+    """Serve until SIGTERM or SIGINT, then stop, whatever other signals come, and end the process.
+
+    reload_settings: called at SIGHUP. Raises DaemonExit if the address is taken.
+    """
 
     def reload() -> None:
         try:
@@ -79,18 +98,46 @@
     except OSError as error:
         raise DaemonExit(3, f"cannot listen on {server.bind_addr}: {error}") from error
     threading.Thread(target=server.serve, daemon=True).start()
-    daemon_signals.DAEMON_SIGNALS.wait_for_stop(reload)
-    completed = report_stop(stop, report_counters)
-    server.stop()
-    sys.stdout.flush()
-    raise DaemonExit(0 if completed else 1)
+    begun_at = daemon_signals.DAEMON_SIGNALS.wait_for_stop(reload)
+    stop(server, daemon, begun_at)
 
 
-def report_stop(stop: collections.abc.Callable[[], bool], report_counters: collections.abc.Callable[[], None]) -> bool:
-    """Call stop() and return its result; log its begin, its end, and the counters since their last line."""
-    begun_at = clock.now()
-    log_buffer.report("stop_begun")
-    completed = stop()
-    report_counters()
+def stop(server: http_server.Server, daemon: Daemon, begun_at: float) -> typing.NoReturn:
+    """Stop a daemon and end its process, on time even if something hangs.
+
+    begun_at: time of the signal, in seconds of the boot clock.
+    """
+    schedule = stop_schedule.from_settings(daemon.settings)
+    exit_at = begun_at + schedule.exit_s
+    end_process_at(exit_at)
+    log_buffer.report("stop_begun", late_s=round(clock.now() - begun_at, 3))
+    completed = False
+    try:
+        completed = daemon.drain(schedule, begun_at)
+        close(server, (clock.now() + exit_at) / 2)
+    except Exception as error:
+        log_buffer.failure("stop_failed", error)
+    daemon.counters_report.report_now()
     log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3))
-    return completed
+    end_process(0 if completed else 1)
+
+
+def close(server: http_server.Server, deadline: float) -> None:
+    """Close a server: its listening socket, its idle connections, then its threads; give up at a time of the clock."""
+    thread = threading.Thread(target=server.stop, daemon=True)  # the library waits for its threads without a limit
+    thread.start()
+    thread.join(max(0.0, deadline - clock.now()))
+
+
+def end_process_at(moment: float) -> None:
+    """Have the process end at a time of the boot clock, unless it has ended by then."""
+    timer = threading.Timer(max(0.0, moment - clock.now()), end_process, [1])
+    timer.daemon = True
+    timer.start()
+
+
+def end_process(code: int) -> typing.NoReturn:
+    """End the process at once; threads that still run are not waited for, as the interpreter's own end does."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -14,6 +14,7 @@
 import mothshed.configuration.document as configuration
 import mothshed.data_plane.router as router_module
 import mothshed.programs.environment as environment_module
+import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.runtime.timers as timers
 import mothshed.transport.peers as peers
 import tests.platform_stand_in as stand_in
@@ -75,6 +76,11 @@
     return b"".join(stand_in.event(n, of) for n in range(first, last + 1))
 
 
+def drain(router, duration_s):
+    """Stop a router that takes no more requests; return whether all its work ended within the duration."""
+    return router.drain(stop_schedule.for_drain_time(duration_s), router.environment.now())
+
+
 def request_count(replicas):
     return sum(len(r.requests) for r in replicas)
 
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -19,7 +19,7 @@
 def start_drain(site):
     """Start a drain; the event that is returned is set once it has ended."""
     ended = threading.Event()
-    threading.Thread(target=lambda: site.router.drain(8) and ended.set(), daemon=True).start()
+    threading.Thread(target=lambda: platform_site.drain(site.router, 8.0) and ended.set(), daemon=True).start()
     platform_site.wait_until(lambda: site.router.stopping)
     return ended
 
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -143,7 +143,7 @@
     resting.rest_once(decode_replicas, resting.BETWEEN_EVENTS, resting.REST_S)
     resting.spend_budget(site)
     ended = []
-    threading.Timer(0.3, lambda: ended.append(site.router.drain(5.0))).start()
+    threading.Timer(0.3, lambda: ended.append(platform_site.drain(site.router, 5.0))).start()
     _request_id, answer = site.ask(host)
     platform_site.wait_until(lambda: ended)
     assert resting.is_whole(answer) and ended == [True]
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,5 +1,6 @@
 """SIGTERM to a router in the middle of a stream drops no request."""
 
+import json
 import signal
 import threading
 
@@ -29,3 +30,29 @@
         thread.join(30)
         assert fleet.processes["route-1"].wait(30) == 0
         assert [(r["end"], len(r["text"].split())) for r in rows] == [("whole", 150)]
+
+
+GRACE_S = 4.0  # the stand-in replicas break a stream after 4 s
+
+
+# Guards against a router of our own interface that serves on after a second signal, or that only a kill ends.
+def test_a_stream_that_outlives_the_grace_time_is_cut_and_the_router_ends_by_itself(tmp_path):
+    with fleets.serving(tmp_path, 2, 2) as fleet:
+        path = tmp_path / "route-1.json"
+        path.write_text(json.dumps({**json.loads(path.read_text()), "grace_s": GRACE_S}))
+        fleet.signal("route-1", signal.SIGTERM)
+        assert fleet.processes["route-1"].wait(30) == 0
+        fleet.relaunch("route-1")
+        environment, router, rows = environment_module.BlockingEnvironment(), fleet.settings["route-1"]["http"], []
+        fleet.wait_http(router, "/condition", lambda c: c["serving"])
+        call = {**callers.make_call(1, 1, ["dispatch"]), "tokens": 2000, "stream": True, "kind": "question"}
+        thread = threading.Thread(
+            target=lambda: rows.append(callers.send_call(environment, router, "shift-notes", call))
+        )
+        thread.start()
+        fleet.wait_http(router, "/condition", lambda c: c["flight"] == 1)
+        for name in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            fleet.signal("route-1", name)
+        assert fleet.processes["route-1"].wait(GRACE_S) == 1
+        thread.join(30)
+        assert [row["end"] for row in rows] == ["broken"] and 0 < len(rows[0]["text"].split()) < 2000
--- a/tools/simulator/scenarios_processes.py
+++ b/tools/simulator/scenarios_processes.py
@@ -1,5 +1,6 @@
 """Scenarios in which processes and machines are killed, frozen or stopped gracefully."""
 
+import mothshed.runtime.stop_schedule as stop_schedule
 import tools.simulator.scenario_base as base
 
 
@@ -91,7 +92,8 @@
 
 def stop_router(fleet, name):
     def run():
-        fleet.processes[name].drain(15.0)
+        router = fleet.processes[name]
+        router.drain(stop_schedule.for_drain_time(15.0), router.environment.now())
         fleet.net.apps.pop(fleet.settings[name]["http"])  # the server stops listening, then completes its responses
         fleet.call_later(0.05, lambda: fleet.kill(name, planned=True))
         fleet.call_later(1.0, lambda: fleet.start(name))
@@ -101,7 +103,7 @@
 
 def stop_keeper(fleet, name):
     def run():
-        fleet.processes[name].drain()
+        fleet.processes[name].drain(stop_schedule.from_settings({}))
         fleet.call_later(0.0, lambda: fleet.kill(name, planned=True))
         fleet.call_later(1.0, lambda: fleet.start(name))
 
--- a/tools/simulator/scenarios_quorum.py
+++ b/tools/simulator/scenarios_quorum.py
@@ -1,5 +1,6 @@
 """Scenarios for the voting group: long partitions, losses right after repairs, keepers that miss many changes."""
 
+import mothshed.runtime.stop_schedule as stop_schedule
 import tools.simulator.scenario_base as base
 import tools.simulator.scenarios_processes as scenarios_processes
 
@@ -117,7 +118,7 @@
     """Stop a keeper gracefully and for good."""
 
     def run():
-        fleet.processes[name].drain()
+        fleet.processes[name].drain(stop_schedule.from_settings({}))
         fleet.call_later(0.0, lambda: fleet.kill(name, planned=True))
 
     fleet.loop.spawn(fleet.machines[name], run)
--- a/tools/simulator/scenarios_releases.py
+++ b/tools/simulator/scenarios_releases.py
@@ -4,6 +4,7 @@
 that the present release does not know.
 """
 
+import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.transport.constants as transport_constants
 import mothshed.transport.record_kinds as record_kinds
 import mothshed.transport.records as records
@@ -41,7 +42,7 @@
 
     def end():
         part = fleet.processes[name]
-        part.drain(DRAIN_TIMEOUT_S) if name.startswith("route") else part.drain()
+        part.drain(stop_schedule.for_drain_time(DRAIN_TIMEOUT_S), part.environment.now())
         fleet.loop.at(0.0, None, lambda: fleet.kill(name))
         fleet.call_later(RESTART_S, change)
 
--- a/tools/weakened.py
+++ b/tools/weakened.py
@@ -102,7 +102,7 @@
     return own, {}, 0
 
 
-def stop_immediately(self, timeout_s):
+def stop_immediately(self, schedule, begun_at):
     with self.lock:
         self.stopping = True
     return True
