A release that is on the way counts as pending until it is answered

What replicas saw: a router that was stopped could end while the release of KV memory had been taken from its queue and not yet sent or answered; the memory stayed held until a neighbour's backup release. Cause: count_pending counted the queue and the retries, not what the task had in hand. Now these stay counted until their answer.

tests/test_draining.py, a replica that answers a release late: fails before (the drain ends at once), passes now.

--- a/mothshed/data_plane/handle_releases.py
+++ b/mothshed/data_plane/handle_releases.py
@@ -20,6 +20,7 @@
         self.release_handle = release_handle or replica_adapter.release_handle
         self.queue = collections.deque(maxlen=constants.MAX_PENDING_RELEASES)
         self.retries = []  # (due, next delay, handle)
+        self.sending = []  # handles whose release is due or has been sent and not yet answered
         self.event = environment.new_event()
         self.notify_finished = lambda handle: None  # called once a release has succeeded or expired
 
@@ -33,13 +34,20 @@
         while True:
             self.event.wait(constants.HANDLE_RELEASE_RETRY_INTERVAL_S)
             self.event.clear()
-            now = self.environment.now()
-            due = [entry[1:] for entry in self.retries if entry[0] <= now]
-            self.retries = [entry for entry in self.retries if entry[0] > now]
-            while self.queue:
-                due.append((constants.HANDLE_RELEASE_RETRY_INTERVAL_S, self.queue.popleft()))
-            for delay, handle in due:
-                self.release(handle, delay)
+            self.send_due()
+
+    def send_due(self) -> None:
+        """Send the queued releases and the retries that are due; each stays pending until it has been answered."""
+        now = self.environment.now()
+        due = [entry[1:] for entry in self.retries if entry[0] <= now]
+        self.sending = [handle for _delay, handle in due]
+        self.retries = [entry for entry in self.retries if entry[0] > now]
+        while self.queue:
+            self.sending.append(self.queue[0])
+            due.append((constants.HANDLE_RELEASE_RETRY_INTERVAL_S, self.queue.popleft()))
+        for delay, handle in due:
+            self.release(handle, delay)
+            self.sending.pop(0)
 
     def release(self, handle, delay):
         """Send one release; on failure, schedule a retry after the delay, and after twice the delay the next time."""
@@ -55,4 +63,4 @@
 
     def count_pending(self):
         """Number of releases not yet done, except retries for handles that were never confirmed."""
-        return len(self.queue) + sum(entry[2].confirmed for entry in self.retries)
+        return len(self.queue) + len(self.sending) + sum(entry[2].confirmed for entry in self.retries)
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -53,6 +53,26 @@
         assert ended.wait(8) and replica.requests == []
 
 
+# Guards against KV memory that stays held because the process ended while its release was on the way.
+def test_a_drain_waits_for_a_release_that_was_sent_and_not_yet_answered(site):
+    host, replicas = site.service("pd")
+    may_release, is_asked = threading.Event(), threading.Event()
+    usual = replicas[0].answer
+
+    def answer(conn, request):
+        if request.target.startswith("/kv-handle/"):
+            is_asked.set()
+            may_release.wait(5)
+        return usual(conn, request)
+
+    replicas[0].answer = answer
+    assert site.ask(host)[1].complete and is_asked.wait(5)
+    ended = start_drain(site)
+    assert not ended.wait(0.3)
+    may_release.set()
+    assert ended.wait(8) and len(replicas[0].released) == 1
+
+
 def test_responses_while_leaving_close_their_connection(site):
     host, (replica,) = site.service("d", engine=False, kind="once_only", facts={"events": 0})
     assert "Connection" not in site.ask(host, prompt=False)[1].headers
