A stop as its users see it: condition page, and what it served, rejected, cut and freed

The condition page of routers and keepers says since when it runs, in how many seconds what is left is cut and when the process ends; stop_ended says what became of the requests. Requests that a stopping router rejects are counted (refusal_stopping, bounce_stopping), those that it cuts too (delivery_cut, request_cut). tests/test_stop.py and tests/test_stop_reports.py ask for these on real processes; there were no such fields before.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -1,6 +1,7 @@
 """The keeper process: for every part one member of its consensus group, each with a mailbox of its own."""
 
 import secrets
+import typing
 
 import mothshed.configuration.lease as lease_module
 import mothshed.constants as constants
@@ -49,6 +50,7 @@
     ):
         self.environment, self.settings, self.disk = environment, settings, disk
         self.waiting_for_disk = False  # whether a thread is retrying the failed disk
+        self.stop_progress: typing.Callable[[], dict[str, float] | None] = lambda: None
         self.journal = journal_module.Journal(environment.now)
         self.totals = self.journal.view(journal_module.Totals())
         self.counters_report = counters.CountersReport(environment, self.totals, environment.figures)
@@ -166,8 +168,9 @@
         member.environment.post(lambda: (results.append(callback()), event.set()))
         return results[0] if event.wait(constants.MAILBOX_CALL_TIMEOUT_S) else None
 
-    def drain(self, schedule: stop_schedule.StopSchedule, _begun_at: float = 0.0) -> bool:
+    def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
         """Leaves all groups and transfers every leadership; returns whether no member leads any more."""
+        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
         for member in self.members:
             self.call_in_mailbox(member, member.leave)
         self.environment.sleep(2 * constants.HEARTBEAT_INTERVAL_S)
@@ -191,5 +194,6 @@
             "process": self.environment.figures(),
             "releases": self.environment.releases(),
             "neighbours": sorted(self.gossip.view),
+            "stop": self.stop_progress(),
             "serving": all(p["state"] in ("leader", "follower") and p["leader"] for p in parts),
         }
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -76,6 +76,7 @@
         self.handles_waiting = 0  # KV handles whose requests wait for a free decode slot
         self.stopping = self.leaving = self.cutting = False
         self.accept_until = float("inf")  # no request is taken later, on the environment's clock
+        self.stop_progress: typing.Callable[[], dict[str, float] | None] = lambda: None
         self.lock = threading.Lock()
 
     def run(self):
@@ -122,6 +123,7 @@
 
         begun_at: time of the signal. New requests are taken until `accept_s` after it; returns by `exit_s` after it.
         """
+        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
         self.accept_until = begun_at + schedule.accept_s
         self.leaving = True
         self.environment.sleep(max(0.0, self.accept_until - self.environment.now()))
@@ -186,6 +188,7 @@
             "neighbours": sorted(self.gossip.view),
             "replicas": sorted(self.replicas.usable({})),
             "leaving": sorted(self.replicas.leaving()),
+            "stop": self.stop_progress(),
         }
 
     def front(self):
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -54,6 +54,7 @@
         headers = http_server.request_headers(environ)
         headers.setdefault("x-request-id", f"made-{router.environment.random.getrandbits(64):016x}")
         if not router.begin_request():
+            router.journal.add("bounce", outcome="stopping")
             return http_server.error_response(
                 start,
                 503,
@@ -209,4 +210,6 @@
             self.open = False
             self.execution.close()
             self.router.end_request()
+            if self.outcome == "left" and self.router.cutting:
+                self.outcome = "cut"
             self.router.journal.add("request", outcome=self.outcome, request=self.request.id)
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -4,6 +4,7 @@
 platform, starts faster and uses less memory without it.
 """
 
+import collections
 import collections.abc
 import os
 import sys
@@ -18,12 +19,20 @@
 import mothshed.programs.environment as environment_module
 import mothshed.runtime.clock as clock
 import mothshed.runtime.counters as counters
+import mothshed.runtime.journal as journal
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.runtime.timers as timers
 import mothshed.storage.disk as disk_module
 import mothshed.transport.peers as peers
 
+STOP_FIGURES = {  # the counters of both interfaces
+    "served": ("delivery_done", "request_done"),
+    "rejected": ("refusal_stopping", "bounce_stopping"),
+    "cut": ("delivery_cut", "request_cut"),
+    "freed": ("free_done",),
+}
+
 
 class DaemonExit(Exception):
     """Ends the daemon with an exit code and an optional reason."""
@@ -73,6 +82,7 @@
     """What `serve` needs of a router or a keeper."""
 
     settings: dict[str, typing.Any]
+    totals: journal.Totals
     counters_report: counters.CountersReport
 
     def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
@@ -110,6 +120,7 @@
     schedule = stop_schedule.from_settings(daemon.settings)
     exit_at = begun_at + schedule.exit_s
     end_process_at(exit_at)
+    before = daemon.totals.counts.copy()
     log_buffer.report("stop_begun", late_s=round(clock.now() - begun_at, 3))
     completed = False
     try:
@@ -118,10 +129,18 @@
     except Exception as error:
         log_buffer.failure("stop_failed", error)
     daemon.counters_report.report_now()
-    log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3))
+    lasted_s = round(clock.now() - begun_at, 3)
+    log_buffer.report(
+        "stop_ended", completed=completed, lasted_s=lasted_s, **stop_figures(before, daemon.totals.counts)
+    )
     end_process(0 if completed else 1)
 
 
+def stop_figures(before: collections.Counter[str], after: collections.Counter[str]) -> dict[str, int]:
+    """Return how many requests were served, rejected and cut, and how many handles released, between two counts."""
+    return {name: sum(after[c] - before[c] for c in counted) for name, counted in STOP_FIGURES.items()}
+
+
 def close(server: http_server.Server, deadline: float) -> None:
     """Close a server: its listening socket, its idle connections, then its threads; give up at a time of the clock."""
     thread = threading.Thread(target=server.stop, daemon=True)  # the library waits for its threads without a limit
--- a/mothshed/runtime/stop_schedule.py
+++ b/mothshed/runtime/stop_schedule.py
@@ -19,6 +19,14 @@
     exit_s: float  # the process ends, whatever is left
     leave_s: float  # a keeper waits so long to be replaced or removed
 
+    def progress(self, elapsed_s: float) -> dict[str, float]:
+        """Return what the condition page tells of a stop: its age, and when its next steps are due."""
+        return {
+            "since_s": round(elapsed_s, 2),
+            "cut_in_s": round(max(0.0, self.cut_s - elapsed_s), 2),
+            "ends_in_s": round(max(0.0, self.exit_s - elapsed_s), 2),
+        }
+
 
 def for_grace_time(grace_s: float) -> StopSchedule:
     """Return the schedule for a grace time in seconds."""
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -53,6 +53,11 @@
         fleet.wait_http(router, "/condition", lambda c: c["flight"] == 1)
         for name in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             fleet.signal("route-1", name)
+        fleet.wait_http(
+            router, "/condition", lambda c: c["stop"] and 0 < c["stop"]["cut_in_s"] < c["stop"]["ends_in_s"]
+        )
         assert fleet.processes["route-1"].wait(GRACE_S) == 1
         thread.join(30)
         assert [row["end"] for row in rows] == ["broken"] and 0 < len(rows[0]["text"].split()) < 2000
+        ended = json.loads((tmp_path / "route-1.ring").read_text().splitlines()[-1])
+        assert ended["message_type"] == "stop_ended" and not ended["completed"] and ended["cut"] == 1
--- a/tests/test_stop_reports.py
+++ b/tests/test_stop_reports.py
@@ -31,5 +31,8 @@
     assert [row["message_type"] for row in rows if row["message_type"] != "counters"] == ["stop_begun", "stop_ended"]
     assert rows[-1]["completed"] is True and rows[-1]["lasted_s"] > 0
     assert sum(row.get("delivery_done", 0) for row in rows) == 1
+    assert {name: rows[-1][name] for name in ("served", "rejected", "cut", "freed")} == dict.fromkeys(
+        ("served", "rejected", "cut", "freed"), 0
+    )
     assert not fleet.stop_node(fleet.keepers[0], [(0.0, "SIGTERM")]).was_killed  # nobody can take over from it
     assert [row["message_type"] for row in log_rows(fleet.keepers[0])][-1] == "stop_ended"
--- a/tools/simulator/scenarios_processes.py
+++ b/tools/simulator/scenarios_processes.py
@@ -103,7 +103,8 @@
 
 def stop_keeper(fleet, name):
     def run():
-        fleet.processes[name].drain(stop_schedule.from_settings({}))
+        keeper = fleet.processes[name]
+        keeper.drain(stop_schedule.from_settings({}), keeper.environment.now())
         fleet.call_later(0.0, lambda: fleet.kill(name, planned=True))
         fleet.call_later(1.0, lambda: fleet.start(name))
 
--- a/tools/simulator/scenarios_quorum.py
+++ b/tools/simulator/scenarios_quorum.py
@@ -118,7 +118,8 @@
     """Stop a keeper gracefully and for good."""
 
     def run():
-        fleet.processes[name].drain(stop_schedule.from_settings({}))
+        keeper = fleet.processes[name]
+        keeper.drain(stop_schedule.from_settings({}), keeper.environment.now())
         fleet.call_later(0.0, lambda: fleet.kill(name, planned=True))
 
     fleet.loop.spawn(fleet.machines[name], run)
