--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -94,6 +94,7 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
+    log_text: str = ""  # all that was logged, once the fleet is closed
 
 
 @dataclasses.dataclass
@@ -241,6 +242,7 @@
                 node.process.kill()
             if node.process is not None:
                 node.process.wait()
+            node.log_text = node.log.read_text() if node.log.exists() else ""
         for listener in (*self.replicas, self.platform):
             listener.stop()
 
