A response may take longer than its request may take to arrive

What operators saw: a call to a keeper whose answer takes over 4 s, such as a configuration of megabytes, got a closed connection instead of an answer; over 0.5 s while every thread of the server was busy. Cause: the limits on the arrival of a request held until its response was written, unless the application set a cutoff, as only the fronts of routers do. Found through the stand-in replicas, which use the same server and broke every stream 4.1 s after its request. Change: once the request has been received whole, the limit on responses holds (RESPONSE_TIMEOUT_S, or the request's cutoff).

tests/test_slow_responses.py: 3 of 3 cases fail before (RemoteDisconnected), 0 now.

--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -136,6 +136,7 @@
 IDLE_CLOSE_MARGIN_S = 1.0  # from the idle timeout to the close, as a request may already be in transit
 LINGER_TIMEOUT_S = 0.3  # late client data is read and dropped this long, since a reset would discard the response
 MAX_CHUNK_LINE_BYTES = 256  # a longer size line of a chunk is rejected
+RESPONSE_TIMEOUT_S = 60.0  # from a request's end to the end of its response, unless the request sets a cutoff
 RESPONSE_GRACE_S = 0.5  # from a request's cutoff until its connection is closed
 RETRY_AFTER_S = 1  # sent to rejected user agents
 SLOT_OVERCOMMIT_RATIO = 2.0  # to the free slots that all shares add up to, since few routers use theirs fully
--- a/mothshed/http/caller.py
+++ b/mothshed/http/caller.py
@@ -10,7 +10,9 @@
 import socket
 import typing
 
+import mothshed.constants as constants
 import mothshed.runtime.cancellation as cancellation
+import mothshed.runtime.clock as clock
 
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -40,6 +42,11 @@
             if conn.disconnected_at is not None:
                 self.cancellation.cancel()
 
+    def end_reading(self) -> None:
+        """Note that the request has been received whole: from now on the limit on its response holds."""
+        if self.conn is not None and self.conn.reading:
+            self.close_after(clock.now() + constants.RESPONSE_TIMEOUT_S)
+
     def close_after(self, moment: float) -> None:
         """Have the connection shut down after this time of the boot clock, even if the response is still being sent."""
         if self.conn is not None:
--- a/mothshed/http/gateway.py
+++ b/mothshed/http/gateway.py
@@ -28,7 +28,10 @@
     def get_environ(self) -> Environ:
         """Return the WSGI environment with `mothshed.caller` (Caller) and `mothshed.headers` (name -> text)."""
         raw = {name.decode("latin-1"): value.decode("latin-1") for name, value in self.req.inheaders.items()}
-        return {**super().get_environ(), "mothshed.caller": caller.Caller(self.req.conn), "mothshed.headers": raw}
+        request_caller = caller.Caller(self.req.conn)
+        if not self.req.chunked_read and int(self.req.inheaders.get(b"Content-Length", 0)) == 0:
+            request_caller.end_reading()
+        return {**super().get_environ(), "mothshed.caller": request_caller, "mothshed.headers": raw}
 
     def has_body(self) -> bool:
         """Return whether the response may have a body: those to HEAD and of some statuses have none (RFC 9110)."""
--- a/mothshed/http/http_server.py
+++ b/mothshed/http/http_server.py
@@ -103,6 +103,14 @@
 
 def read_body(environ: Environ, limit: int = constants.MAX_BODY_BYTES) -> bytes:
     """Read the whole body, up to limit bytes; raises BodyError."""
+    data = read_body_bytes(environ, limit)
+    if "mothshed.caller" in environ:
+        environ["mothshed.caller"].end_reading()
+    return data
+
+
+def read_body_bytes(environ: Environ, limit: int) -> bytes:
+    """Read the whole body by its length or its chunks; raises BodyError."""
     size = environ.get("CONTENT_LENGTH")
     if size:
         if int(size) > limit:
