A stop ends the process whatever fails in it

What a platform would see: a router or keeper that can't be stopped, because an exception in the main thread (settings that can't be read at SIGHUP, no thread for the time limit, a closed standard output) left it while the server's threads served on. Change: reading the settings may fail in any way; each step of a stop may fail or hang, and the process ends at the latest at the schedule's exit.

--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -102,6 +102,8 @@
             reload_settings()
         except settings_module.SettingsError as error:  # the previous settings stay in force
             log_buffer.note("settings_unreadable", reason=str(error))
+        except Exception as error:  # the main thread goes on waiting for signals
+            log_buffer.failure("reload_failed", error)
 
     try:
         server.prepare()
@@ -118,22 +120,20 @@
     begun_at: time of the signal, in seconds of the boot clock.
     """
     schedule = stop_schedule.from_settings(daemon.settings)
-    exit_at = begun_at + schedule.exit_s
-    end_process_at(exit_at)
-    before = daemon.totals.counts.copy()
-    log_buffer.report("stop_begun", late_s=round(clock.now() - begun_at, 3))
-    completed = False
+    before, exit_at, completed = daemon.totals.counts.copy(), begun_at + schedule.exit_s, False
     try:
+        end_process_at(exit_at)
+        log_buffer.report("stop_begun", late_s=round(clock.now() - begun_at, 3))
         completed = daemon.drain(schedule, begun_at)
         close(server, (clock.now() + exit_at) / 2)
+        daemon.counters_report.report_now()
+        figures = stop_figures(before, daemon.totals.counts)
+        log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3), **figures)
     except Exception as error:
+        completed = False
         log_buffer.failure("stop_failed", error)
-    daemon.counters_report.report_now()
-    lasted_s = round(clock.now() - begun_at, 3)
-    log_buffer.report(
-        "stop_ended", completed=completed, lasted_s=lasted_s, **stop_figures(before, daemon.totals.counts)
-    )
-    end_process(0 if completed else 1)
+    finally:
+        end_process(0 if completed else 1)
 
 
 def stop_figures(before: collections.Counter[str], after: collections.Counter[str]) -> dict[str, int]:
@@ -152,11 +152,16 @@
     """Have the process end at a time of the boot clock, unless it has ended by then."""
     timer = threading.Timer(max(0.0, moment - clock.now()), end_process, [1])
     timer.daemon = True
-    timer.start()
+    try:
+        timer.start()
+    except RuntimeError as error:  # no thread can be started
+        log_buffer.failure("stop_without_limit", error)
 
 
 def end_process(code: int) -> typing.NoReturn:
     """End the process at once; threads that still run are not waited for, as the interpreter's own end does."""
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
+    try:
+        sys.stdout.flush()
+        sys.stderr.flush()
+    finally:
+        os._exit(code)
