Signals at one moment are all acted on, whichever thread receives them

What the platform saw: a router or keeper that got two signals at one moment (SIGHUP and SIGTERM, SIGTERM and SIGINT) served on as if no stop had been asked for, and its streams were cut by the SIGKILL (LOST). Cause: the kernel gives the second signal to another thread; the interpreter runs handlers in the main thread only, which had gone back to waiting by then. Two handlers that interrupted each other could also lose the first request. Change: the interpreter writes each signal to a pipe, whichever thread receives it, and a thread of its own reads them in order.

--- a/mothshed/programs/daemon_signals.py
+++ b/mothshed/programs/daemon_signals.py
@@ -1,13 +1,16 @@
 """The signals of a daemon, from its start to its end.
 
-SIGTERM and SIGINT ask for a stop, SIGHUP for the settings to be read again. A handler only notes the signal; the main
-thread acts on it once it waits for signals. So a signal that comes while the daemon starts is kept, and none
-interrupts a stop. This module imports little, so that a program can install it first.
+SIGTERM and SIGINT ask for a stop, SIGHUP for the settings to be read again. Each signal is written to a pipe by the
+interpreter, whichever thread receives it, and a thread of its own reads the pipe: a handler in Python would run only
+once the main thread wakes up, which a signal that another thread receives doesn't bring about. A signal that comes
+while the daemon starts stays in the pipe, and none interrupts a stop. This module imports little, so that a program can
+install it first.
 """
 
 import os
 import queue
 import signal
+import threading
 import typing
 
 import mothshed.runtime.clock as clock
@@ -16,36 +19,48 @@
 
 
 class DaemonSignals:
-    """Keeps the signals of this process until the main thread waits for them."""
+    """Collects the signals of this process, in the order in which they come, for the main thread."""
 
     def __init__(self) -> None:
-        self.pending: queue.SimpleQueue[int] = queue.SimpleQueue()  # may be filled by handlers, unlike other queues
+        self.pipe: tuple[int, int] | None = None  # descriptors to read and to write
+        self.pending: queue.SimpleQueue[int] = queue.SimpleQueue()
         self.stop_requests: list[int] = []
         self.stop_requested_at = 0.0
 
     def install_reload(self) -> None:
         """Keep SIGHUP from now on; SIGINT and SIGTERM end the process at once. Only in the main thread."""
-        signal.signal(signal.SIGHUP, self.on_reload)
+        if self.pipe is None:
+            self.pipe = os.pipe()
+            os.set_blocking(self.pipe[1], False)
+            signal.set_wakeup_fd(self.pipe[1], warn_on_full_buffer=False)
+        signal.signal(signal.SIGHUP, do_nothing)
         signal.signal(signal.SIGINT, signal.SIG_DFL)
 
     def install_stop(self) -> None:
         """Keep SIGTERM and SIGINT too: from now on the daemon has work that a stop must hand over or complete."""
-        signal.signal(signal.SIGHUP, self.on_reload)
-        signal.signal(signal.SIGTERM, self.on_stop)
-        signal.signal(signal.SIGINT, self.on_stop)
-
-    def on_reload(self, number: int, _frame: object) -> None:
-        """Note that the settings are to be read again."""
-        self.pending.put(number)
-
-    def on_stop(self, number: int, _frame: object) -> None:
-        """Note the first request for a stop. A second SIGINT ends the process at once, unless SIGTERM has come."""
-        self.stop_requests.append(number)
-        if len(self.stop_requests) == 1:
-            self.stop_requested_at = clock.now()
+        self.install_reload()
+        signal.signal(signal.SIGTERM, do_nothing)
+        signal.signal(signal.SIGINT, do_nothing)
+        threading.Thread(target=self.read_signals, name="signals", daemon=True).start()
+
+    def read_signals(self) -> None:
+        """Take the signals from the pipe, until the process ends."""
+        assert self.pipe is not None
+        while numbers := os.read(self.pipe[0], signal.NSIG):
+            for number in numbers:
+                self.take(number)
+
+    def take(self, number: int) -> None:
+        """Pass on a signal. A second SIGINT ends the process at once, unless SIGTERM has come."""
+        if number == signal.SIGHUP:
             self.pending.put(number)
-        elif signal.SIGTERM not in self.stop_requests:
-            os._exit(ABORT_EXIT_CODE)
+        elif number in (signal.SIGTERM, signal.SIGINT):
+            self.stop_requests.append(number)
+            if len(self.stop_requests) == 1:
+                self.stop_requested_at = clock.now()
+                self.pending.put(number)
+            elif signal.SIGTERM not in self.stop_requests:
+                os._exit(ABORT_EXIT_CODE)
 
     def wait_for_stop(self, reload: typing.Callable[[], object]) -> float:
         """Wait until a stop is requested and return when it was, in seconds of the boot clock; call reload() meanwhile.
@@ -57,4 +72,8 @@
         return self.stop_requested_at
 
 
+def do_nothing(_number: int, _frame: object) -> None:
+    """Handle a signal that is read from the pipe."""
+
+
 DAEMON_SIGNALS = DaemonSignals()
--- a/tests/test_reload_signal.py
+++ b/tests/test_reload_signal.py
@@ -51,3 +51,4 @@
     finally:
         for number, handler in usual.items():
             signal.signal(number, handler)
+        signal.set_wakeup_fd(-1)
--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -1,7 +1,9 @@
-"""A stop that fails or hangs somewhere still ends the process."""
+"""A stop that fails or hangs somewhere, or is asked for by signals at one moment, still ends the process."""
 
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -28,12 +30,22 @@
 reload = lambda: None
 INJECT
 daemon_signals.DAEMON_SIGNALS.install_stop()
-for name in (signal.SIGHUP, signal.SIGTERM):
-    os.kill(os.getpid(), name)
+SEND
 threading.Thread(target=time.sleep, args=(600,)).start()
 serving.serve(server, daemon, reload)
 """
 
+OWN_SIGNALS = """
+for name in (signal.SIGHUP, signal.SIGTERM):
+    os.kill(os.getpid(), name)
+"""
+PROCESSES = 16
+ROUNDS = 6
+
+
+def program(inject, signals):
+    return PROGRAM.replace("INJECT", inject).replace("SEND", signals)
+
 
 # Guards against a process that lives on without being stoppable because a step of its stop failed.
 @pytest.mark.parametrize(
@@ -52,10 +64,31 @@
     ],
 )
 def test_a_stop_ends_the_process_whatever_fails_in_it(inject, code):
-    process = subprocess.Popen([sys.executable, "-c", PROGRAM.replace("INJECT", inject)], stderr=subprocess.PIPE)
+    process = subprocess.Popen([sys.executable, "-c", program(inject, OWN_SIGNALS)], stderr=subprocess.PIPE)
     try:
         assert process.wait(30) == code
     finally:
         process.kill()
         process.wait()
         process.stderr.close()
+
+
+# Guards against a signal that is lost because the main thread was not the one that received it.
+@pytest.mark.parametrize("names", [("SIGHUP", "SIGTERM"), ("SIGTERM", "SIGINT"), ("SIGINT", "SIGTERM")], ids="-".join)
+def test_signals_at_one_moment_are_all_acted_on(names):
+    for _ in range(ROUNDS):
+        command = [sys.executable, "-c", program("pass", "print(flush=True)")]
+        processes = [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(PROCESSES)]
+        try:
+            for process in processes:
+                process.stdout.readline()  # its handlers are installed
+            time.sleep(0.2)
+            for process in processes:
+                for name in names:
+                    process.send_signal(getattr(signal, name))
+            assert [process.wait(30) for process in processes] == [0] * PROCESSES
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+                process.stdout.close()
