--- a/mothshed/constants.py
+++ b/mothshed/constants.py
@@ -236,14 +236,6 @@
 MAX_PENDING_RELEASES = 1024  # unsent releases; the oldest are dropped first
 
 # --- process -------------------------------------------------------------
-DRAIN_TIMEOUT_S = 20.0  # longest wait of a stop for running requests, where no grace time is set
-STOP_ACCEPT_S = 2.5  # a stopping router takes new requests so long; those sent 3 s after the signal may never be cut
-STOP_ACCEPT_RATIO = 0.625  # the same, at most, as a share of the grace time
-STOP_CUT_RATIO = 0.875  # share of the grace time after which requests are cut; the last sixth has begun by then
-STOP_EXIT_RATIO = 0.9375  # share of the grace time after which a stopping process ends in any case
-STOP_LEAVE_RATIO = 0.4375  # share of the grace time for which a keeper waits to be replaced or removed
-STOP_CLOSE_TIMEOUT_S = 2.0  # from the cut to the end of the process, where no grace time is set
-STOP_CHECK_INTERVAL_S = 0.02  # a stopping process looks this often whether its work has ended
 MAX_LOG_BUFFER_MESSAGES = 2000
 MAX_REPORT_BURST_LINES = 40  # the state changes of a start, in four parts
 REPORT_LINES_PER_S = 4.0  # beyond it lines stay in memory
--- a/mothshed/control_plane/operator_api.py
+++ b/mothshed/control_plane/operator_api.py
@@ -28,6 +28,7 @@
 import mothshed.control_plane.leader_hint as leader_hint
 import mothshed.control_plane.operator_responses as operator_responses
 import mothshed.http.http_server as http_server
+import mothshed.http.request_body as request_body
 
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's start_response
 Environ = dict[str, typing.Any]  # WSGI's environ
@@ -67,7 +68,7 @@
             return http_server.error_response(start_response, 405, f"use {methods}", headers=[("Allow", methods)])
         try:
             return table[path][method](environ, start_response)
-        except http_server.BodyError as error:
+        except request_body.BodyError as error:
             headers = [("Connection", "close")]
             return http_server.error_response(start_response, error.status, error.reason, headers=headers)
 
@@ -130,7 +131,7 @@
 
     def put_configuration(self, environ, start_response):
         try:
-            body = json.loads(http_server.read_body(environ))
+            body = json.loads(request_body.read_body(environ))
         except INVALID_JSON_ERRORS as error:
             return http_server.error_response(start_response, 400, f"body is not JSON: {error}")
         redirect = self.redirect_to_leader(environ, start_response)
@@ -148,7 +149,7 @@
     def patch_configuration(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Apply a change of named items to the newest document; the resulting whole document is replicated."""
         try:
-            body = json.loads(http_server.read_body(environ))
+            body = json.loads(request_body.read_body(environ))
         except INVALID_JSON_ERRORS as error:
             return http_server.error_response(start_response, 400, f"body is not JSON: {error}")
         errors = request_errors(body, {"put", "remove"})
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -15,6 +15,7 @@
 import mothshed.data_plane.response_start as response_start_module
 import mothshed.http.caller as caller_module
 import mothshed.http.http_server as http_server
+import mothshed.http.request_body as request_body
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -80,7 +81,7 @@
         """The request; raises Rejection if it can't be delivered, CallerDisconnected if the caller disconnected."""
         headers, router = environ["mothshed.headers"], self.router
         limits = (router.lease.document() or {}).get("limits", {})
-        body = http_server.read_body(environ, limits.get("body_bytes", constants.MAX_BODY_BYTES))
+        body = request_body.read_body(environ, limits.get("body_bytes", constants.MAX_BODY_BYTES))
         target, host = environ["REQUEST_URI"], headers.get("Host", "")
         sequence, document = router.wait_for_lease(caller)
         if sequence is None or document is None:
@@ -139,7 +140,7 @@
 
     def failure_response(self, start_response, error, request_id):
         add = functools.partial(self.router.journal.add, request=request_id)
-        if isinstance(error, http_server.BodyError):
+        if isinstance(error, request_body.BodyError):
             add("delivery", outcome="invalid")
             return http_server.error_response(
                 start_response, error.status, error.reason, headers=[("Connection", "close")]
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -23,6 +23,7 @@
 import mothshed.replicas.listed_replicas as listed_replicas
 import mothshed.replicas.replica_adapter as replica_adapter
 import mothshed.replicas.verdict as verdict
+import mothshed.runtime.constants as runtime_constants
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal_module
 import mothshed.runtime.stop_schedule as stop_schedule
@@ -140,7 +141,7 @@
         while self.is_busy():
             if self.environment.now() >= deadline:
                 return False
-            self.environment.sleep(constants.STOP_CHECK_INTERVAL_S)
+            self.environment.sleep(runtime_constants.STOP_CHECK_INTERVAL_S)
         return True
 
     def cut_requests(self) -> None:
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -15,6 +15,7 @@
 import mothshed.data_plane.request_parsing as request_parsing
 import mothshed.http.caller as caller_module
 import mothshed.http.http_server as http_server
+import mothshed.http.request_body as request_body
 import mothshed.replicas.verdict as verdict
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -84,7 +85,7 @@
     def parse_request(self, path, environ, headers, caller):
         """Parse the request; its waits and cutoff count from its arrival, not from when a thread was free."""
         router = self.router
-        arrived_at, data = caller.arrived if caller else router.environment.now(), http_server.read_body(environ)
+        arrived_at, data = caller.arrived if caller else router.environment.now(), request_body.read_body(environ)
         document = router.lease.document()
         if document is None:
             raise verdict.Rejection(503, "no configuration yet", constants.RETRY_AFTER_S, "no_configuration")
@@ -108,7 +109,7 @@
         request_id = request_id if request_parsing.REQUEST_ID.match(request_id) else ""
         headers_out = [("X-Request-Id", request_id)] if request_id else []
         add_entry = functools.partial(self.router.journal.add, request=request_id)
-        if isinstance(error, http_server.BodyError):
+        if isinstance(error, request_body.BodyError):
             add_entry("request", outcome="invalid")
             return http_server.error_response(
                 start, error.status, error.reason, headers=headers_out + [("Connection", "close")]
--- /dev/null
+++ b/mothshed/runtime/constants.py
@@ -0,0 +1,10 @@
+"""Constants of the stop of a process."""
+
+DRAIN_TIMEOUT_S = 20.0  # longest wait of a stop for running requests, where no grace time is set
+STOP_ACCEPT_S = 2.5  # a stopping router takes new requests so long; those sent 3 s after the signal may never be cut
+STOP_ACCEPT_RATIO = 0.625  # the same, at most, as a share of the grace time
+STOP_CUT_RATIO = 0.875  # share of the grace time after which requests are cut; the last sixth has begun by then
+STOP_EXIT_RATIO = 0.9375  # share of the grace time after which a stopping process ends in any case
+STOP_LEAVE_RATIO = 0.4375  # share of the grace time for which a keeper waits to be replaced or removed
+STOP_CLOSE_TIMEOUT_S = 2.0  # from the cut to the end of the process, where no grace time is set
+STOP_CHECK_INTERVAL_S = 0.02  # a stopping process looks this often whether its work has ended
--- a/mothshed/runtime/stop_schedule.py
+++ b/mothshed/runtime/stop_schedule.py
@@ -8,6 +8,7 @@
 import typing
 
 import mothshed.constants as constants
+import mothshed.runtime.constants as runtime_constants
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,10 +32,10 @@
 def for_grace_time(grace_s: float) -> StopSchedule:
     """Return the schedule for a grace time in seconds."""
     return StopSchedule(
-        accept_s=min(constants.STOP_ACCEPT_S, constants.STOP_ACCEPT_RATIO * grace_s),
-        cut_s=constants.STOP_CUT_RATIO * grace_s,
-        exit_s=constants.STOP_EXIT_RATIO * grace_s,
-        leave_s=constants.STOP_LEAVE_RATIO * grace_s,
+        accept_s=min(runtime_constants.STOP_ACCEPT_S, runtime_constants.STOP_ACCEPT_RATIO * grace_s),
+        cut_s=runtime_constants.STOP_CUT_RATIO * grace_s,
+        exit_s=runtime_constants.STOP_EXIT_RATIO * grace_s,
+        leave_s=runtime_constants.STOP_LEAVE_RATIO * grace_s,
     )
 
 
@@ -42,12 +43,12 @@
     """Return the schedule where nothing kills the process. drain_s: from the last request taken to the cut."""
     cut_s = accept_s + drain_s
     leave_s = constants.DEFAULT_LEAVE_TIMEOUT_S if leave_s is None else leave_s
-    return StopSchedule(accept_s, cut_s, cut_s + constants.STOP_CLOSE_TIMEOUT_S, leave_s)
+    return StopSchedule(accept_s, cut_s, cut_s + runtime_constants.STOP_CLOSE_TIMEOUT_S, leave_s)
 
 
 def from_settings(settings: dict[str, typing.Any]) -> StopSchedule:
     """Return the schedule of a process: from its grace time, or from the times that its settings state instead."""
     if "grace_s" in settings:
         return for_grace_time(settings["grace_s"])
-    drain_s = settings.get("drain_s", constants.DRAIN_TIMEOUT_S)
+    drain_s = settings.get("drain_s", runtime_constants.DRAIN_TIMEOUT_S)
     return for_drain_time(drain_s, settings.get("linger_s", 0.0), settings.get("drain_s"))
