--- a/tools/runbook_verbs.py
+++ b/tools/runbook_verbs.py
@@ -151,7 +151,10 @@
 
 @check
 def router_gone(run, address):
-    return f"{address} still answers" if read_condition(address) else None
+    page = read_condition(address)
+    if not page:
+        return None
+    return f"{address} still answers; its stop: {page.get('stop')}, {page.get('flight')} requests under way"
 
 
 @check
