Test of SIGHUP: a signal while the daemon waits is acted on too; a fleet whose start fails is closed

The rewritten test of DaemonSignals had lost a check: the former one sent a second SIGHUP to the serving daemon and counted each call. The fixtures of two stop tests left their processes behind when the start failed.

--- a/tests/test_reload_signal.py
+++ b/tests/test_reload_signal.py
@@ -5,11 +5,13 @@
 import signal
 import subprocess
 import sys
+import threading
 
 import pytest
 
 import mothshed.programs.daemon_signals as daemon_signals
 import mothshed.runtime.clock as clock
+import tests.platform_site as platform_site
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -38,16 +40,24 @@
 
 
 def test_a_signal_before_the_daemon_serves_is_acted_on_then():
-    found, calls = daemon_signals.DaemonSignals(), []
+    found, calls, counted = daemon_signals.DaemonSignals(), [], []
+
+    def signal_the_waiting_daemon():
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            platform_site.wait_until(lambda: len(calls) > len(counted))
+            counted.append(list(calls))
+            os.kill(os.getpid(), number)
+
     usual = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)}
     try:
         found.install_reload()
         os.kill(os.getpid(), signal.SIGHUP)
         found.install_stop()
-        os.kill(os.getpid(), signal.SIGHUP)
-        os.kill(os.getpid(), signal.SIGTERM)
+        threading.Timer(0.2, signal_the_waiting_daemon).start()
         requested_at = found.wait_for_stop(lambda: calls.append("reload"))
-        assert calls == ["reload", "reload"] and 0 <= clock.now() - requested_at < 60
+        assert (
+            counted == [["reload"], ["reload", "reload"]] == [calls[:1], calls] and 0 <= clock.now() - requested_at < 60
+        )
     finally:
         for number, handler in usual.items():
             signal.signal(number, handler)
--- a/tests/test_stop_reports.py
+++ b/tests/test_stop_reports.py
@@ -10,9 +10,11 @@
 @pytest.fixture
 def fleet(tmp_path):
     made = stop_fleet.Fleet(tmp_path, 1, 1, 8.0, stop_fleet.ROOT)
-    made.start()
-    yield made
-    made.close()
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
 
 
 def log_rows(node):
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -23,9 +23,11 @@
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
     made = stop_fleet.Fleet(tmp_path_factory.mktemp("fleet"), 3, 1, 8.0, stop_fleet.ROOT)
-    made.start()
-    yield made
-    made.close()
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
 
 
 def serving(fleet, node):
