A stop begins where its signal is read: nothing that holds up the main thread holds it up

What callers saw: a router told to read its settings again (SIGHUP) while they can't be read, as from a file system that hangs, never acted on the SIGTERM after it: it took requests on for its whole grace time, and the kill cut them. A start that hangs (prepare) was likewise ended by the kill only, and the time for new requests began only once the main thread came to it.

Cause: SIGHUP and SIGTERM waited in one queue for the main thread, which reads the settings itself; the times of a stop were set by it as well.

Change: the thread that reads the signals begins the stop (programs/daemon_stop.begin): the end of the process is due, and the time for new requests and the readiness are set, from the moment at which the signal was read. Settings are read in a thread of their own. The main thread goes through the stop as before (daemon_stop.complete, moved out of programs/serving). Router.drain and Keeper.drain begin it themselves where nobody did.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -168,9 +168,13 @@
         member.environment.post(lambda: (results.append(callback()), event.set()))
         return results[0] if event.wait(constants.MAILBOX_CALL_TIMEOUT_S) else None
 
+    def begin_stop(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> None:
+        """Tell of the stop; the groups are left by `drain`."""
+        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
+
     def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
         """Leaves all groups and transfers every leadership; returns whether no member leads any more."""
-        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
+        self.begin_stop(schedule, begun_at)
         for member in self.members:
             self.call_in_mailbox(member, member.leave)
         self.environment.sleep(2 * constants.HEARTBEAT_INTERVAL_S)
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -119,14 +119,18 @@
             raise verdict.CallerDisconnected()
         return self.lease.current()
 
+    def begin_stop(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> None:
+        """Take new requests until `accept_s` after the time of the signal only, and tell that this router leaves."""
+        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
+        self.accept_until = begun_at + schedule.accept_s
+        self.leaving = True
+
     def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
         """Complete the work, and cut what takes too long; return whether all of it was completed.
 
         begun_at: time of the signal. New requests are taken until `accept_s` after it; returns by `exit_s` after it.
         """
-        self.stop_progress = lambda: schedule.progress(self.environment.now() - begun_at)
-        self.accept_until = begun_at + schedule.accept_s
-        self.leaving = True
+        self.begin_stop(schedule, begun_at)
         self.environment.sleep(max(0.0, self.accept_until - self.environment.now()))
         with self.lock:
             self.stopping = True
--- a/mothshed/programs/keep.py
+++ b/mothshed/programs/keep.py
@@ -1,6 +1,7 @@
 """mothshed-keep: the keeper daemon, on machines with a disk."""
 
 import dataclasses
+import functools
 import typing
 
 import cappa
@@ -8,6 +9,7 @@
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.programs.daemon_flags as daemon_flags
 import mothshed.programs.daemon_signals as daemon_signals
+import mothshed.programs.daemon_stop as daemon_stop
 import mothshed.programs.serving as serving
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -31,7 +33,7 @@
     new_environment = serving.environment_factory(settings)
     keeper = keeper_module.Keeper(new_environment(), settings, new_environment, serving.open_disk(settings["data"]))
     log_buffer.attach_journal(keeper.journal)
-    daemon_signals.DAEMON_SIGNALS.install_stop()
+    daemon_signals.DAEMON_SIGNALS.install_stop(functools.partial(daemon_stop.begin, keeper))
     keeper.run()
     serving.serve(keeper.front(), keeper)
 
--- a/mothshed/programs/route.py
+++ b/mothshed/programs/route.py
@@ -1,6 +1,7 @@
 """mothshed-route: the router daemon, on every machine."""
 
 import dataclasses
+import functools
 import typing
 
 import cappa
@@ -8,6 +9,7 @@
 import mothshed.data_plane.router as router_module
 import mothshed.programs.daemon_flags as daemon_flags
 import mothshed.programs.daemon_signals as daemon_signals
+import mothshed.programs.daemon_stop as daemon_stop
 import mothshed.programs.serving as serving
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -30,7 +32,7 @@
     """Run a router until a signal stops it; raises serving.DaemonExit."""
     router = router_module.Router(serving.environment_factory(settings)(), settings)
     log_buffer.attach_journal(router.journal)
-    daemon_signals.DAEMON_SIGNALS.install_stop()
+    daemon_signals.DAEMON_SIGNALS.install_stop(functools.partial(daemon_stop.begin, router))
     router.run()
     serving.serve(router.front(), router)
 
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -4,10 +4,7 @@
 platform, starts faster and uses less memory without it.
 """
 
-import collections
 import collections.abc
-import os
-import sys
 import threading
 import time
 import typing
@@ -16,23 +13,13 @@
 import mothshed.constants as constants
 import mothshed.http.http_server as http_server
 import mothshed.programs.daemon_signals as daemon_signals
+import mothshed.programs.daemon_stop as daemon_stop
 import mothshed.programs.environment as environment_module
-import mothshed.runtime.clock as clock
-import mothshed.runtime.counters as counters
-import mothshed.runtime.journal as journal
 import mothshed.runtime.log_buffer as log_buffer
-import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.runtime.timers as timers
 import mothshed.storage.disk as disk_module
 import mothshed.transport.peers as peers
 
-STOP_FIGURES = {  # the counters of both interfaces
-    "served": ("delivery_done", "request_done"),
-    "rejected": ("refusal_stopping", "bounce_stopping"),
-    "cut": ("delivery_cut", "request_cut"),
-    "freed": ("free_done",),
-}
-
 
 class DaemonExit(Exception):
     """Ends the daemon with an exit code and an optional reason."""
@@ -78,23 +65,14 @@
             sleep(constants.DISK_RETRY_INTERVAL_S)
 
 
-class Daemon(typing.Protocol):
-    """What `serve` needs of a router or a keeper."""
-
-    settings: dict[str, typing.Any]
-    totals: journal.Totals
-    counters_report: counters.CountersReport
-
-    def drain(self, schedule: stop_schedule.StopSchedule, begun_at: float) -> bool:
-        """Complete or hand over the work, until `exit_s` after begun_at at most; return whether nothing was left."""
-
-
 def serve(
-    server: http_server.Server, daemon: Daemon, reload_settings: collections.abc.Callable[[], None] = lambda: None
+    server: http_server.Server,
+    daemon: daemon_stop.Daemon,
+    reload_settings: collections.abc.Callable[[], None] = lambda: None,
 ) -> typing.NoReturn:
     """Serve until SIGTERM or SIGINT, then stop, whatever other signals come, and end the process.
 
-    reload_settings: called at SIGHUP. Raises DaemonExit if the address is taken.
+    reload_settings: called at SIGHUP, in a thread of its own. Raises DaemonExit if the address is taken.
     """
 
     def reload() -> None:
@@ -102,7 +80,7 @@
             reload_settings()
         except settings_module.SettingsError as error:  # the previous settings stay in force
             log_buffer.note("settings_unreadable", reason=str(error))
-        except Exception as error:  # the main thread goes on waiting for signals
+        except Exception as error:
             log_buffer.failure("reload_failed", error)
 
     try:
@@ -111,57 +89,4 @@
         raise DaemonExit(3, f"cannot listen on {server.bind_addr}: {error}") from error
     threading.Thread(target=server.serve, daemon=True).start()
     begun_at = daemon_signals.DAEMON_SIGNALS.wait_for_stop(reload)
-    stop(server, daemon, begun_at)
-
-
-def stop(server: http_server.Server, daemon: Daemon, begun_at: float) -> typing.NoReturn:
-    """Stop a daemon and end its process, on time even if something hangs.
-
-    begun_at: time of the signal, in seconds of the boot clock.
-    """
-    schedule = stop_schedule.from_settings(daemon.settings)
-    before, exit_at, completed = daemon.totals.counts.copy(), begun_at + schedule.exit_s, False
-    try:
-        end_process_at(exit_at)
-        log_buffer.report("stop_begun", late_s=round(clock.now() - begun_at, 3))
-        completed = daemon.drain(schedule, begun_at)
-        close(server, (clock.now() + exit_at) / 2)
-        daemon.counters_report.report_now()
-        figures = stop_figures(before, daemon.totals.counts)
-        log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3), **figures)
-    except Exception as error:
-        completed = False
-        log_buffer.failure("stop_failed", error)
-    finally:
-        end_process(0 if completed else 1)
-
-
-def stop_figures(before: collections.Counter[str], after: collections.Counter[str]) -> dict[str, int]:
-    """Return how many requests were served, rejected and cut, and how many handles released, between two counts."""
-    return {name: sum(after[c] - before[c] for c in counted) for name, counted in STOP_FIGURES.items()}
-
-
-def close(server: http_server.Server, deadline: float) -> None:
-    """Close a server: its listening socket, its idle connections, then its threads; give up at a time of the clock."""
-    thread = threading.Thread(target=server.stop, daemon=True)  # the library waits for its threads without a limit
-    thread.start()
-    thread.join(max(0.0, deadline - clock.now()))
-
-
-def end_process_at(moment: float) -> None:
-    """Have the process end at a time of the boot clock, unless it has ended by then."""
-    timer = threading.Timer(max(0.0, moment - clock.now()), end_process, [1])
-    timer.daemon = True
-    try:
-        timer.start()
-    except RuntimeError as error:  # no thread can be started
-        log_buffer.failure("stop_without_limit", error)
-
-
-def end_process(code: int) -> typing.NoReturn:
-    """End the process at once; threads that still run are not waited for, as the interpreter's own end does."""
-    try:
-        sys.stdout.flush()
-        sys.stderr.flush()
-    finally:
-        os._exit(code)
+    daemon_stop.complete(server, daemon, begun_at)
--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -114,12 +114,15 @@
             settings = json.loads(node.settings.read_text())
             node.settings.write_text(json.dumps({**settings, "first_run": False}))
 
-    def launch(self, node: Node) -> None:
-        """Start the process of one program."""
+    def launch(self, node: Node, log: int | None = None) -> None:
+        """Start the process of one program. log: descriptor that it logs to instead of its file."""
         environ = {**os.environ, "MOTHSHED_SETTINGS": str(node.settings)}
         program = [sys.executable, str(self.tree / "platform" / "start.py"), node.role]
-        with open(node.log, "ab") as log:
-            node.process = subprocess.Popen(program, env=environ, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        with open(node.log, "ab") as file:
+            output = file if log is None else log
+            node.process = subprocess.Popen(
+                program, env=environ, stdin=subprocess.DEVNULL, stdout=output, stderr=output
+            )
 
     def configure(self, timeout_s: float = 5.0) -> int:
         """Send the next configuration to the keepers in turn; return the status of the last response, 0 without one."""
--- a/tests/test_reload_signal.py
+++ b/tests/test_reload_signal.py
@@ -40,7 +40,7 @@
 
 
 def test_a_signal_before_the_daemon_serves_is_acted_on_then():
-    found, calls, counted = daemon_signals.DaemonSignals(), [], []
+    found, calls, counted, begun = daemon_signals.DaemonSignals(), [], [], []
 
     def signal_the_waiting_daemon():
         for number in (signal.SIGHUP, signal.SIGTERM):
@@ -52,12 +52,13 @@
     try:
         found.install_reload()
         os.kill(os.getpid(), signal.SIGHUP)
-        found.install_stop()
+        found.install_stop(begun.append)
         threading.Timer(0.2, signal_the_waiting_daemon).start()
         requested_at = found.wait_for_stop(lambda: calls.append("reload"))
         assert (
             counted == [["reload"], ["reload", "reload"]] == [calls[:1], calls] and 0 <= clock.now() - requested_at < 60
         )
+        assert begun == [requested_at]
     finally:
         for number, handler in usual.items():
             signal.signal(number, handler)
--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -8,9 +8,10 @@
 import pytest
 
 PROGRAM = """
-import collections, os, signal, sys, threading, time, types
+import collections, functools, os, signal, sys, threading, time, types
 import mothshed.http.http_server as http_server
 import mothshed.programs.daemon_signals as daemon_signals
+import mothshed.programs.daemon_stop as daemon_stop
 import mothshed.programs.serving as serving
 
 def fail(*_arguments):
@@ -25,11 +26,11 @@
 server = http_server.Server("127.0.0.1:0", lambda environ, start: [], 2)
 daemon = types.SimpleNamespace(
     settings={"grace_s": 2}, totals=types.SimpleNamespace(counts=collections.Counter()), drain=complete,
-    counters_report=types.SimpleNamespace(report_now=lambda: None),
+    counters_report=types.SimpleNamespace(report_now=lambda: None), begin_stop=lambda *_arguments: None,
 )
 reload = lambda: None
 INJECT
-daemon_signals.DAEMON_SIGNALS.install_stop()
+daemon_signals.DAEMON_SIGNALS.install_stop(functools.partial(daemon_stop.begin, daemon))
 SEND
 threading.Thread(target=time.sleep, args=(600,)).start()
 serving.serve(server, daemon, reload)
@@ -60,6 +61,9 @@
         ("daemon.counters_report.report_now = hang", 1),
         ("threading.Timer.start = fail", 0),
         ("reload = fail", 0),
+        ("reload = hang", 0),
+        ("daemon.begin_stop = fail", 0),
+        ("server.prepare = hang", 1),
         ("sys.stdout.close()", 0),
     ],
 )
