A log that nobody reads holds up neither a daemon nor its stop

What callers saw: with a full pipe as its standard error a router never becomes ready and a keeper answers nothing; one whose log stops being read later takes requests on after a SIGTERM until the kill, which cuts them.

Cause: a log line was written by the thread that had it to tell, under the lock of the log, the main thread first; the end of the process flushed the standard streams, which waits for the same pipe, before it left.

Change: a daemon's log is written by a thread of its own (runtime/background_writer). Up to 4 MB wait for it, what exceeds that is dropped and told by a line (log_writes_dropped). A stop waits a second at most for its last lines, the end of the process a tenth of one.

--- a/mothshed/programs/daemon_flags.py
+++ b/mothshed/programs/daemon_flags.py
@@ -48,6 +48,7 @@
             "settings are not valid:\n" + "\n".join(f"  {line}" for line in error.errors), code=2
         ) from error
     log_buffer.start(settings["name"], settings.get("ring"))
+    log_buffer.write_in_background()
     return settings
 
 
--- a/mothshed/programs/daemon_stop.py
+++ b/mothshed/programs/daemon_stop.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import os
 import sys
 import threading
@@ -13,6 +14,7 @@
 
 import mothshed.http.http_server as http_server
 import mothshed.runtime.clock as clock
+import mothshed.runtime.constants as runtime_constants
 import mothshed.runtime.counters as counters
 import mothshed.runtime.journal as journal
 import mothshed.runtime.log_buffer as log_buffer
@@ -67,6 +69,7 @@
         daemon.counters_report.report_now()
         figures = stop_figures(before, daemon.totals.counts)
         log_buffer.report("stop_ended", completed=completed, lasted_s=round(clock.now() - begun_at, 3), **figures)
+        log_buffer.flush(runtime_constants.STOP_FLUSH_TIMEOUT_S)
     except Exception as error:
         completed = False
         log_buffer.failure("stop_failed", error)
@@ -81,7 +84,12 @@
 
 def close(server: http_server.Server, deadline: float) -> None:
     """Close a server: its listening socket, its idle connections, then its threads; give up at a time of the clock."""
-    thread = threading.Thread(target=server.stop, daemon=True)  # the library waits for its threads without a limit
+    call_until(deadline, server.stop)  # the library waits for its threads without a limit
+
+
+def call_until(deadline: float, call: collections.abc.Callable[[], object]) -> None:
+    """Call a function that may hang, and wait for its end until a time of the boot clock at most."""
+    thread = threading.Thread(target=call, daemon=True)
     thread.start()
     thread.join(max(0.0, deadline - clock.now()))
 
@@ -97,9 +105,16 @@
 
 
 def end_process(code: int) -> typing.NoReturn:
-    """End the process at once; threads that still run are not waited for, as the interpreter's own end does."""
+    """End the process; threads that still run, and an output that is not read, are not waited for."""
     try:
-        sys.stdout.flush()
-        sys.stderr.flush()
+        call_until(clock.now() + runtime_constants.EXIT_FLUSH_TIMEOUT_S, flush_outputs)
     finally:
         os._exit(code)
+
+
+def flush_outputs() -> None:
+    """Write what the log and the standard streams still hold; may block."""
+    log_buffer.flush(runtime_constants.EXIT_FLUSH_TIMEOUT_S)
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, ValueError):
+            stream.flush()
--- a/mothshed/runtime/constants.py
+++ b/mothshed/runtime/constants.py
@@ -1,4 +1,4 @@
-"""Constants of the stop of a process."""
+"""Constants of a process: its stop and its log."""
 
 DRAIN_TIMEOUT_S = 20.0  # longest wait of a stop for running requests, where no grace time is set
 STOP_ACCEPT_S = 2.5  # a stopping router takes new requests so long; those sent 3 s after the signal may never be cut
@@ -8,3 +8,6 @@
 STOP_LEAVE_RATIO = 0.4375  # share of the grace time for which a keeper waits to be replaced or removed
 STOP_CLOSE_TIMEOUT_S = 2.0  # from the cut to the end of the process, where no grace time is set
 STOP_CHECK_INTERVAL_S = 0.02  # a stopping process looks this often whether its work has ended
+STOP_FLUSH_TIMEOUT_S = 1.0  # a stop waits so long, at most, for a log that is not read
+EXIT_FLUSH_TIMEOUT_S = 0.1  # the same at the end of a process, which has little of its grace time left
+MAX_PENDING_LOG_BYTES = 4_000_000  # some writes of the whole log buffer
--- a/mothshed/runtime/log_buffer.py
+++ b/mothshed/runtime/log_buffer.py
@@ -11,6 +11,7 @@
 `mothshed logs` computes the wall-clock time of these events.
 """
 
+import atexit
 import collections
 import json
 import sys
@@ -22,6 +23,8 @@
 import eliot
 
 import mothshed.constants as constants
+import mothshed.runtime.background_writer as background_writer
+import mothshed.runtime.constants as runtime_constants
 
 MESSAGES = collections.deque(maxlen=constants.MAX_LOG_BUFFER_MESSAGES)
 JOURNALS = []
@@ -75,6 +78,17 @@
         eliot.add_destinations(handle_message)
 
 
+def write_in_background() -> None:
+    """Write in a thread of its own from now on, so that a log that nobody reads holds up nothing; for daemons."""
+    BACKGROUND_WRITER.start()
+    atexit.register(flush, runtime_constants.STOP_FLUSH_TIMEOUT_S)
+
+
+def flush(timeout_s: float) -> bool:
+    """Wait until all lines are written, for a number of seconds at most; return whether they are."""
+    return BACKGROUND_WRITER.flush(timeout_s)
+
+
 def attach_journal(journal: typing.Any) -> None:
     """Write the events of this journal with the log buffer from now on."""
     JOURNALS.append(journal)
@@ -126,9 +140,26 @@
 
 
 def write_text(text: str) -> None:
-    """Append lines to the log file, or to standard error if there is none."""
+    """Append lines to the log file, or to standard error if there is none; a daemon doesn't wait for it."""
+    if BACKGROUND_WRITER.is_started:
+        BACKGROUND_WRITER.write(text)
+    else:
+        write_now(text)
+
+
+def write_now(text: str) -> None:
+    """Append lines to the log file, or to standard error if there is none. Raises OSError; waits for its reader."""
     if STATE["path"]:
         with open(STATE["path"], "a") as file:
             file.write(text)
     else:
         sys.stderr.write(text)
+        sys.stderr.flush()
+
+
+def dropped_note(count: int) -> str:
+    """Return the line that tells of writes that were dropped while the log was not read."""
+    return json_line({"timestamp": time.time(), "message_type": "log_writes_dropped", "count": count})
+
+
+BACKGROUND_WRITER = background_writer.BackgroundWriter(write_now, dropped_note)
--- a/tests/test_stop_hangs.py
+++ b/tests/test_stop_hangs.py
@@ -1,4 +1,4 @@
-"""Stops of real processes while a file that they use hangs."""
+"""Stops of real processes while a file that they use hangs: settings that can't be read, a log that nobody reads."""
 
 import json
 import os
@@ -13,6 +13,24 @@
 STREAM_EVENTS = 50  # 3 s: a stream that is taken as late as allowed is still under way at the cut
 
 
+class UnreadPipe:
+    """The write end of a full pipe that nobody reads."""
+
+    def __enter__(self):
+        self.read_end, self.write_end = os.pipe()
+        os.set_blocking(self.write_end, False)
+        try:
+            while True:
+                os.write(self.write_end, b"x" * 65536)
+        except BlockingIOError:
+            os.set_blocking(self.write_end, True)
+        return self.write_end
+
+    def __exit__(self, *_error):
+        os.close(self.read_end)
+        os.close(self.write_end)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     made = stop_fleet.Fleet(tmp_path, 1, 1, GRACE_S, stop_fleet.ROOT)
@@ -53,3 +71,26 @@
     assert verdict.violations == {} and not stop.was_killed
     rows = [json.loads(line) for line in router.log.read_text().splitlines() if line.startswith("{")]
     assert rows[-1]["message_type"] == "stop_ended"
+
+
+# Guards against a process that its own log holds up: it neither drains nor ends.
+def test_a_router_stops_while_nobody_reads_its_log(fleet):
+    router = fleet.routers[0]
+    fleet.stop_node(router, [(0.0, "SIGTERM")])
+    with UnreadPipe() as log:
+        fleet.launch(router, log)
+        stop_fleet.platform_site.wait_until(lambda: fleet.is_ready(router), stop_fleet.START_TIMEOUT_S)
+        stop, verdict = stop_under_load(fleet, router, [(0.0, "SIGTERM")])
+    assert verdict.violations == {} and not stop.was_killed
+    assert verdict.outcomes["complete"] and fleet.handles_left() == 0
+
+
+def test_a_keeper_stops_while_nobody_reads_its_log(fleet):
+    keeper = fleet.keepers[0]
+    fleet.stop_node(keeper, [(0.0, "SIGTERM")])
+    with UnreadPipe() as log:
+        fleet.launch(keeper, log)
+        stop_fleet.platform_site.wait_until(
+            lambda: fleet.status(keeper, "signal_box", "GET", "/configuration") == 200, stop_fleet.START_TIMEOUT_S
+        )
+        assert not fleet.stop_node(keeper, [(0.0, "SIGTERM")]).was_killed
