Test of signals in the start: the interpreter's own end by SIGINT is told from ours

test_a_signal_during_the_start_ends_the_process[route-SIGINT-0.0] failed once, in a run of several test files: exit code 1 in place of 0, -2 or -15. Traced: 150 starts with a SIGINT 0 to 60 ms after them (trial) end 145 times by the signal; 4 times, at 3 to 5 ms, with code 1 and a KeyboardInterrupt within the interpreter's import of its own site module, before a line of ours runs (one more was swallowed by the interpreter; the SIGTERM that follows in the test ends such a process). Code 1 passes now only for SIGINT and only if the output ends with that exception and names no file of this tree; our own exit with 1, a stop with requests left, still fails.

--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -88,6 +88,11 @@
     assert fleet.configure(20.0) == 200
 
 
+def is_interrupted_interpreter(output):
+    """Return whether the output is of an interpreter that SIGINT ended before it ran any of our code."""
+    return output.rstrip().endswith("KeyboardInterrupt") and str(stop_fleet.ROOT) not in output
+
+
 # Guards against a signal during the start that leaves a process which neither serves nor ends.
 @pytest.mark.parametrize("after_s", [0.0, 0.2, 0.5, 1.0])
 @pytest.mark.parametrize("name", ["SIGTERM", "SIGINT"])
@@ -96,7 +101,10 @@
     node = fleet.routers[0] if role == "route" else fleet.keepers[1]
     if node.process.poll() is None:
         fleet.stop_node(node, [(0.0, "SIGTERM")])
+    logged_bytes = node.log.stat().st_size
     fleet.launch(node)
     time.sleep(after_s)
     stop = fleet.stop_node(node, [(0.0, name), (0.1, "SIGHUP"), (0.2, "SIGTERM")])
-    assert not stop.was_killed and stop.code in (0, -2, -15)
+    output = node.log.read_bytes()[logged_bytes:].decode()
+    assert not stop.was_killed
+    assert stop.code in (0, -2, -15) or stop.code == 1 and name == "SIGINT" and is_interrupted_interpreter(output)
