A stopping daemon tells all its clients to connect elsewhere, on both interfaces and at keepers

What callers saw: on our own interface, and at keepers, a client that keeps its connection learned of a stop only when that connection was closed, mid-request if they crossed; only the fronts of routes, and our interface's own 503, said Connection: close.

Cause: each front added the field for itself. Change: the server asks whether its process leaves, and the gateway adds the field to every response; the two places in route_front go.

Evidence: tests/test_stop.py, real processes with kept connections: fails on (no such field from the router) and holds now.

--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -160,7 +160,12 @@
         self.counters_report.run()
 
     def front(self, handler_class=operator_api.OperatorApi):
-        return http_server.Server(self.settings["http"], handler_class(self), constants.OPERATOR_SERVER_THREADS)
+        return http_server.Server(
+            self.settings["http"],
+            handler_class(self),
+            constants.OPERATOR_SERVER_THREADS,
+            lambda: self.stop_progress() is not None,
+        )
 
     def call_in_mailbox(self, member, callback):
         """Runs callback() in a member's mailbox and returns its result, or None after a timeout."""
--- a/mothshed/data_plane/route_front.py
+++ b/mothshed/data_plane/route_front.py
@@ -72,8 +72,6 @@
             return self.failure_response(start_response, error, delivery.request.id if delivery else "")
         reply, may_be_resumed = response_start.reply, delivery.may_be_resumed(response_start)
         headers = response_start_module.headers_for_client(response_start, request.method, may_be_resumed)
-        if router.leaving:
-            headers.append(("Connection", "close"))
         start_response(f"{reply.status} {reply.reason}", headers)
         return ResponseBody(router, delivery, response_start)
 
@@ -123,7 +121,6 @@
         return request
 
     def error_response(self, start_response, status, reason, retry=0, code="not_run", headers=()):
-        headers = [*headers, ("Connection", "close")] if self.router.leaving else list(headers)
         return http_server.error_response(
             start_response, status, reason, verdict=code, retry_after_s=retry, headers=headers
         )
--- a/mothshed/data_plane/router.py
+++ b/mothshed/data_plane/router.py
@@ -199,6 +199,6 @@
     def front(self):
         """Make the HTTP server of this router; it is not yet serving."""
         app = route_front.RouteFront(self) if self.replica_protocol else router_front.CompletionsFront(self)
-        self.server = http_server.Server(self.settings["http"], app, constants.MAX_SERVER_THREADS)
+        self.server = http_server.Server(self.settings["http"], app, constants.MAX_SERVER_THREADS, lambda: self.leaving)
         self.apply_limits()
         return self.server
--- a/mothshed/http/gateway.py
+++ b/mothshed/http/gateway.py
@@ -4,6 +4,7 @@
 same connection. The library lets both happen; here neither is sent, and the connection ends instead.
 """
 
+import collections.abc
 import typing
 
 import cheroot.wsgi
@@ -11,6 +12,8 @@
 import mothshed.http.caller as caller
 
 Environ = dict[str, typing.Any]  # WSGI's
+HeaderRows = collections.abc.Iterable[tuple[str, str]]
+WriteBody = collections.abc.Callable[[bytes], None]
 BODILESS_STATUSES = (b"204", b"304")
 
 
@@ -33,6 +36,14 @@
             request_caller.end_reading()
         return {**super().get_environ(), "mothshed.caller": request_caller, "mothshed.headers": raw}
 
+    def start_response(self, status: str, headers: HeaderRows, exc_info: typing.Any = None) -> WriteBody:
+        """Set the head of the response; while the server is leaving, it ends the use of this connection."""
+        rows = list(headers)
+        if self.req.server.is_leaving() and all(name.lower() != "connection" for name, _value in rows):
+            rows.append(("Connection", "close"))
+        write: WriteBody = super().start_response(status, rows, exc_info)
+        return write
+
     def has_body(self) -> bool:
         """Return whether the response may have a body: those to HEAD and of some statuses have none (RFC 9110)."""
         return self.req.method != b"HEAD" and not self.req.status.startswith(BODILESS_STATUSES)
--- a/mothshed/http/http_server.py
+++ b/mothshed/http/http_server.py
@@ -46,7 +46,7 @@
 
 Environ = gateway.Environ
 StartResponse = collections.abc.Callable[..., typing.Any]  # WSGI's
-HeaderRows = collections.abc.Iterable[tuple[str, str]]
+HeaderRows = gateway.HeaderRows
 
 
 def status_line(status: int) -> str:
@@ -91,7 +91,15 @@
     when idle; `threads` is their maximum.
     """
 
-    def __init__(self, address: str, app: typing.Any, threads: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        app: typing.Any,
+        threads: int,
+        is_leaving: collections.abc.Callable[[], bool] = lambda: False,
+    ) -> None:
+        """is_leaving: whether clients are told to open their next connection elsewhere."""
+        self.is_leaving = is_leaving
         host, port = address.rsplit(":", 1)
         super().__init__(
             (host, int(port)),
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,5 +1,6 @@
 """SIGTERM to a router in the middle of a stream drops no request."""
 
+import http.client
 import json
 import signal
 import threading
@@ -61,3 +62,36 @@
         assert [row["end"] for row in rows] == ["broken"] and 0 < len(rows[0]["text"].split()) < 2000
         ended = json.loads((tmp_path / "route-1.ring").read_text().splitlines()[-1])
         assert ended["message_type"] == "stop_ended" and not ended["completed"] and ended["cut"] == 1
+
+
+def kept_connection(address):
+    """Return a connection to an address, which is kept for several requests."""
+    host, port = address.rsplit(":", 1)
+    return http.client.HTTPConnection(host, int(port), timeout=10)
+
+
+def connection_header(connection, method, path, body=None):
+    """Send a request on a kept connection; return its status and what the response says about the connection."""
+    connection.request(method, path, body and json.dumps(body))
+    response = connection.getresponse()
+    response.read()
+    return response.status, response.headers.get("Connection")
+
+
+# Guards against clients that learn that their process stops only from a closed connection.
+def test_a_stopping_router_and_keeper_tell_their_clients_to_connect_elsewhere(tmp_path):
+    with fleets.serving(tmp_path, 2, 2) as fleet:
+        body = {"model": "shift-notes", "prompt": "a " * 40, "max_tokens": 2, "stream": False}
+        for name, call in (("route-1", ("POST", "/v1/completions", body)), ("keep-1", ("GET", "/configuration"))):
+            path = tmp_path / f"{name}.json"
+            path.write_text(json.dumps({**json.loads(path.read_text()), "grace_s": 8.0}))
+            fleet.signal(name, signal.SIGTERM)
+            fleet.processes[name].wait(30)
+            fleet.relaunch(name)
+            address = fleet.settings[name]["http"]
+            fleet.wait_http(address, "/condition", lambda c: c.get("serving", True))
+            connection = kept_connection(address)
+            assert connection_header(connection, *call)[1] is None
+            fleet.signal(name, signal.SIGTERM)
+            fleet.wait_http(address, "/condition", lambda c: c["stop"])
+            assert connection_header(connection, *call)[1] == "close"
