A call that a stop cuts on our own interface is told so, and counted as cut

What callers saw: a completion without a stream that outlives its router's grace time got 502 'the user agent hung up' and may_have_run, even if no replica had been sent anything; the line of the stop counted it as neither served nor cut.

Cause: the cut cancels a call as if its caller had left, and only the front of routes told the two apart. Change: the completions front does so too: 502 may_have_run if any part was sent, else 503 not_run with Retry-After; both count as cut.

Evidence: tests/test_stop.py, a real router with grace_s 4: on the error is 'the user agent hung up', now 'this router is stopping' and cut 1.

--- a/mothshed/data_plane/request_execution.py
+++ b/mothshed/data_plane/request_execution.py
@@ -44,6 +44,10 @@
             self.release_secured_plan()
             self.release_handle()
 
+    def was_sent(self) -> bool:
+        """Return whether any part of the request was sent to a replica, so that it may have run."""
+        return self.may_have_run or any(self.sends_written.values())
+
     def release_handle(self):
         """Queue the release of the request's handle, if it has one."""
         if self.handle:
--- a/mothshed/data_plane/router_front.py
+++ b/mothshed/data_plane/router_front.py
@@ -63,24 +63,45 @@
                 retry_after_s=constants.RETRY_AFTER_S,
                 headers=[("Connection", "close")],
             )
+        execution = None
         try:
             request = self.parse_request(path, environ, headers, environ.get("mothshed.caller"))
-            execution = request_execution.RequestExecution(router, request).run()
-            first = next(execution)
+            execution = request_execution.RequestExecution(router, request)
+            tokens = execution.run()
+            first = next(tokens)
         except BaseException as e:
             router.end_request()
+            if router.cutting and isinstance(e, verdict.CallerDisconnected):
+                return self.cut_response(start, execution, headers)
             return self.respond_failure(start, e, headers)
         if request.stream:
             start(http_server.status_line(200), [("Content-Type", "text/event-stream"), ("X-Request-Id", request.id)])
-            return EventStream(router, request, first, execution)
+            return EventStream(router, request, first, tokens)
         try:
-            tokens = [first, *execution]
+            gathered = [first, *tokens]
         except BaseException as e:
             return self.respond_failure(start, e, headers)
         finally:
             router.end_request()
         router.journal.add("request", outcome="done", request=request.id)
-        return http_server.respond(start, 200, make_response(request, tokens), [("X-Request-Id", request.id)])
+        return http_server.respond(start, 200, make_response(request, gathered), [("X-Request-Id", request.id)])
+
+    def cut_response(
+        self,
+        start: http_server.StartResponse,
+        execution: request_execution.RequestExecution | None,
+        headers: dict[str, str],
+    ) -> list[bytes]:
+        """Respond to a request that the stop of this router has cut before the head of its response."""
+        request_id = valid_request_id(headers)
+        headers_out = [("X-Request-Id", request_id)] if request_id else []
+        self.router.journal.add("request", outcome="cut", request=request_id)
+        reason = "this router is stopping"
+        if execution is not None and execution.was_sent():
+            return http_server.error_response(start, 502, reason, verdict="may_have_run", headers=headers_out)
+        return http_server.error_response(
+            start, 503, reason, retry_after_s=constants.RETRY_AFTER_S, headers=headers_out
+        )
 
     def parse_request(self, path, environ, headers, caller):
         """Parse the request; its waits and cutoff count from its arrival, not from when a thread was free."""
@@ -105,8 +126,7 @@
 
     def respond_failure(self, start, error, headers):
         """Respond to a request that failed before its response began, and record its outcome in the journal."""
-        request_id = headers.get("x-request-id", "")
-        request_id = request_id if request_parsing.REQUEST_ID.match(request_id) else ""
+        request_id = valid_request_id(headers)
         headers_out = [("X-Request-Id", request_id)] if request_id else []
         add_entry = functools.partial(self.router.journal.add, request=request_id)
         if isinstance(error, request_body.BodyError):
@@ -144,6 +164,12 @@
         return http_server.error_response(start, 500, "internal fault", verdict="may_have_run", headers=headers_out)
 
 
+def valid_request_id(headers: dict[str, str]) -> str:
+    """Return the id that a request came with, or an empty one if it is none."""
+    request_id = headers.get("x-request-id", "")
+    return request_id if request_parsing.REQUEST_ID.match(request_id) else ""
+
+
 def make_chunk(request, text, finish_reason, created):
     """Return one chunk of a streamed response as an object of the completions API."""
     if request.path == "/v1/chat/completions":
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,7 +4,11 @@
 import json
 import signal
 import threading
+import types
 
+import pytest
+
+import mothshed.data_plane.router_front as router_front
 import mothshed.programs.environment as environment_module
 import tests.fleets as fleets
 import tools.callers as callers
@@ -36,34 +40,56 @@
 GRACE_S = 4.0  # the stand-in replicas break a stream after 4 s
 
 
+def stop_with_long_call(fleet, tmp_path, stream):
+    """Stop a router, by several signals, with one call that outlives the stop; return its row and the last log line."""
+    path = tmp_path / "route-1.json"
+    path.write_text(json.dumps({**json.loads(path.read_text()), "grace_s": GRACE_S}))
+    fleet.signal("route-1", signal.SIGTERM)
+    assert fleet.processes["route-1"].wait(30) == 0
+    fleet.relaunch("route-1")
+    environment, router, rows = environment_module.BlockingEnvironment(), fleet.settings["route-1"]["http"], []
+    fleet.wait_http(router, "/condition", lambda c: c["serving"])
+    call = {**callers.make_call(1, 1, ["dispatch"]), "tokens": 2000, "stream": stream, "kind": "question"}
+    thread = threading.Thread(target=lambda: rows.append(callers.send_call(environment, router, "shift-notes", call)))
+    thread.start()
+    fleet.wait_http(router, "/condition", lambda c: c["flight"] == 1)
+    for name in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        fleet.signal("route-1", name)
+    fleet.wait_http(router, "/condition", lambda c: c["stop"] and 0 < c["stop"]["cut_in_s"] < c["stop"]["ends_in_s"])
+    assert fleet.processes["route-1"].wait(GRACE_S) == 1
+    thread.join(30)
+    return rows[0], json.loads((tmp_path / "route-1.ring").read_text().splitlines()[-1])
+
+
 # Guards against a router of our own interface that serves on after a second signal, or that only a kill ends.
 def test_a_stream_that_outlives_the_grace_time_is_cut_and_the_router_ends_by_itself(tmp_path):
     with fleets.serving(tmp_path, 2, 2) as fleet:
-        path = tmp_path / "route-1.json"
-        path.write_text(json.dumps({**json.loads(path.read_text()), "grace_s": GRACE_S}))
-        fleet.signal("route-1", signal.SIGTERM)
-        assert fleet.processes["route-1"].wait(30) == 0
-        fleet.relaunch("route-1")
-        environment, router, rows = environment_module.BlockingEnvironment(), fleet.settings["route-1"]["http"], []
-        fleet.wait_http(router, "/condition", lambda c: c["serving"])
-        call = {**callers.make_call(1, 1, ["dispatch"]), "tokens": 2000, "stream": True, "kind": "question"}
-        thread = threading.Thread(
-            target=lambda: rows.append(callers.send_call(environment, router, "shift-notes", call))
-        )
-        thread.start()
-        fleet.wait_http(router, "/condition", lambda c: c["flight"] == 1)
-        for name in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            fleet.signal("route-1", name)
-        fleet.wait_http(
-            router, "/condition", lambda c: c["stop"] and 0 < c["stop"]["cut_in_s"] < c["stop"]["ends_in_s"]
-        )
-        assert fleet.processes["route-1"].wait(GRACE_S) == 1
-        thread.join(30)
-        assert [row["end"] for row in rows] == ["broken"] and 0 < len(rows[0]["text"].split()) < 2000
-        ended = json.loads((tmp_path / "route-1.ring").read_text().splitlines()[-1])
+        row, ended = stop_with_long_call(fleet, tmp_path, True)
+        assert row["end"] == "broken" and 0 < len(row["text"].split()) < 2000
         assert ended["message_type"] == "stop_ended" and not ended["completed"] and ended["cut"] == 1
 
 
+# Guards against a cut that is told and counted as if the user agent had hung up.
+def test_a_call_without_a_stream_that_outlives_the_grace_time_gets_an_answer(tmp_path):
+    with fleets.serving(tmp_path, 2, 2) as fleet:
+        row, ended = stop_with_long_call(fleet, tmp_path, False)
+        assert (row["end"], row["status"], row["verdict"]) == ("answered", 502, "may_have_run")
+        assert row["error"] == "this router is stopping" and ended["cut"] == 1
+
+
+@pytest.mark.parametrize("sends, status, is_told_when_to_return", [(0, 503, True), (1, 502, False)])
+def test_a_call_that_is_cut_before_it_was_sent_has_not_run(sends, status, is_told_when_to_return):
+    entries, heads = [], []
+    router = types.SimpleNamespace(journal=types.SimpleNamespace(add=lambda kind, **entry: entries.append(entry)))
+    execution = types.SimpleNamespace(was_sent=lambda: bool(sends))
+    front = router_front.CompletionsFront(router)
+    body = front.cut_response(lambda *head: heads.append(head), execution, {"x-request-id": "q-1"})
+    headers = dict(heads[0][1])
+    assert heads[0][0].startswith(str(status)) and ("Retry-After" in headers) is is_told_when_to_return
+    assert json.loads(body[0])["error"]["verdict"] == ("may_have_run" if sends else "not_run")
+    assert entries == [{"outcome": "cut", "request": "q-1"}] and headers["X-Request-Id"] == "q-1"
+
+
 def kept_connection(address):
     """Return a connection to an address, which is kept for several requests."""
     host, port = address.rsplit(":", 1)
