The note of dropped log writes comes after them, by the log itself

tests/test_proof.py (no decision reads wall time) failed in a whole run of the tests (1 of 3,062): the note took its own time stamp. The log library makes the line now, as for any other report; it comes once the output goes on and nothing waits. tests/test_background_writer.py follows: the sum of what was written and what was told to be dropped is still all that was sent.

--- a/mothshed/runtime/background_writer.py
+++ b/mothshed/runtime/background_writer.py
@@ -10,18 +10,17 @@
 class BackgroundWriter:
     """Passes texts on to a function, one after the other, in the background.
 
-    While the function is held up, texts are kept up to a limit and dropped beyond it. The next text that is passed on
-    follows a note of how many were dropped.
+    While the function is held up, texts are kept up to a limit and dropped beyond it; how many is told once it goes on.
     """
 
     def __init__(
         self,
         write: collections.abc.Callable[[str], None],
-        dropped_note: collections.abc.Callable[[int], str],
+        report_dropped: collections.abc.Callable[[int], object],
         max_pending: int = runtime_constants.MAX_PENDING_LOG_BYTES,
     ) -> None:
-        """write: may block, or raise OSError or ValueError. dropped_note: takes the number of dropped texts."""
-        self.write_now, self.dropped_note, self.max_pending = write, dropped_note, max_pending
+        """write: may block, or raise OSError or ValueError. report_dropped: takes the number of dropped texts."""
+        self.write_now, self.report_dropped, self.max_pending = write, report_dropped, max_pending
         self.pending: collections.deque[str] = collections.deque()
         self.pending_characters = self.dropped = 0
         self.is_started = self.is_writing = False
@@ -54,23 +53,27 @@
 
     def write_next(self) -> None:
         """Wait for a text and write it; one that can't be written counts as dropped."""
-        text, dropped = self.take()
-        note = self.dropped_note(dropped) if dropped else ""
+        text = self.take()
         failed = False
         try:
-            self.write_now(note + text)
+            self.write_now(text)
         except (OSError, ValueError):
             failed = True
+        with self.changed:
+            self.dropped += failed
+            dropped = 0 if failed or self.pending else self.dropped
+            self.dropped -= dropped
+        if dropped:
+            self.report_dropped(dropped)
         with self.changed:
             self.is_writing = False
-            self.dropped += dropped + 1 if failed else 0
             self.changed.notify_all()
 
-    def take(self) -> tuple[str, int]:
-        """Wait for the next text; return it, and how many were dropped and are not told of yet."""
+    def take(self) -> str:
+        """Wait for the next text, and return it."""
         with self.changed:
             self.changed.wait_for(lambda: bool(self.pending))
-            text, dropped = self.pending.popleft(), self.dropped
+            text = self.pending.popleft()
             self.pending_characters -= len(text)
-            self.dropped, self.is_writing = 0, True
-        return text, dropped
+            self.is_writing = True
+        return text
--- a/mothshed/runtime/log_buffer.py
+++ b/mothshed/runtime/log_buffer.py
@@ -157,9 +157,6 @@
         sys.stderr.flush()
 
 
-def dropped_note(count: int) -> str:
-    """Return the line that tells of writes that were dropped while the log was not read."""
-    return json_line({"timestamp": time.time(), "message_type": "log_writes_dropped", "count": count})
-
-
-BACKGROUND_WRITER = background_writer.BackgroundWriter(write_now, dropped_note)
+BACKGROUND_WRITER = background_writer.BackgroundWriter(
+    write_now, lambda count: report("log_writes_dropped", count=count)
+)
