Which responses have a body stands in one place; serving has full hints

The statuses without a body stood in three modules (gateway, headers, response_start). No behaviour changes.

--- a/mothshed/data_plane/response_start.py
+++ b/mothshed/data_plane/response_start.py
@@ -10,6 +10,8 @@
 import dataclasses
 import typing
 
+import mothshed.http.response_rules as response_rules
+
 Events = collections.abc.Iterator[tuple[bytes, int | None]]  # an event and its id
 
 HOP_BY_HOP_HEADERS = {
@@ -37,7 +39,6 @@
     "last-modified",
     "accept-ranges",
 }
-BODILESS_STATUSES = {204, 304}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,7 +90,7 @@
     may_be_resumed: events of another run may follow, so that fields that hold for one run only are left out.
     """
     reply = start.reply
-    has_body = method != "HEAD" and reply.status not in BODILESS_STATUSES
+    has_body = response_rules.has_body(method, reply.status)
     dropped = connection_headers(reply.headers) - {"content-length"}
     if may_be_resumed and has_body:
         dropped |= SINGLE_RUN_HEADERS
--- a/mothshed/http/gateway.py
+++ b/mothshed/http/gateway.py
@@ -10,11 +10,11 @@
 import cheroot.wsgi
 
 import mothshed.http.caller as caller
+import mothshed.http.response_rules as response_rules
 
 Environ = dict[str, typing.Any]  # WSGI's
 HeaderRows = collections.abc.Iterable[tuple[str, str]]
 WriteBody = collections.abc.Callable[[bytes], None]
-BODILESS_STATUSES = (b"204", b"304")
 
 
 class BodyLengthError(Exception):
@@ -45,8 +45,8 @@
         return write
 
     def has_body(self) -> bool:
-        """Return whether the response may have a body: those to HEAD and of some statuses have none (RFC 9110)."""
-        return self.req.method != b"HEAD" and not self.req.status.startswith(BODILESS_STATUSES)
+        """Return whether the response may have a body."""
+        return response_rules.has_body(self.req.method.decode("latin-1"), int(self.req.status[:3]))
 
     def write(self, chunk: bytes) -> None:
         """Send a piece of the body; raises BodyLengthError, with nothing sent, if it exceeds the declared length."""
--- a/mothshed/http/headers.py
+++ b/mothshed/http/headers.py
@@ -13,12 +13,13 @@
 
 import mothshed.constants as constants
 import mothshed.http.chunked as chunked
+import mothshed.http.response_rules as response_rules
 import mothshed.runtime.cancellation as cancellation
 import mothshed.runtime.clock as clock
 
 SINGLE_FIELDS = {b"Content-Length", b"Transfer-Encoding", b"Host"}
 LINE_END = b"\r\n"
-BODILESS_STATUSES = (204, 205, 304)
+UNFRAMED_STATUSES = response_rules.BODILESS_STATUSES | {205}  # the library gives these neither length nor chunks
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # values of SO_LINGER
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 FORBIDDEN_IN_LINE = (b"\r", b"\0")  # some parsers take them for the end of a line or of the headers
@@ -97,7 +98,7 @@
     def ends_with_connection(self) -> bool:
         """Return whether the end of the connection is the end of the body, as for a client of HTTP/1.0."""
         has_length = any(name.lower() == b"content-length" for name, _value in self.outheaders)
-        has_body = self.method != b"HEAD" and int(self.status[:3]) not in BODILESS_STATUSES
+        has_body = self.method != b"HEAD" and int(self.status[:3]) not in UNFRAMED_STATUSES
         return has_body and not has_length and not self.chunked_write
 
     def simple_response(self, status, msg=""):
--- a/mothshed/programs/serving.py
+++ b/mothshed/programs/serving.py
@@ -29,7 +29,9 @@
         self.code = code
 
 
-def environment_factory(settings):
+def environment_factory(
+    settings: dict[str, typing.Any],
+) -> collections.abc.Callable[[], environment_module.Environment]:
     """Return a function that creates environments with one shared timer thread and one shared set of peers."""
     shared_timers = timers.Timers()
     try:
@@ -39,10 +41,10 @@
     return lambda: environment_module.Environment(shared_timers, shared_peers, settings["address"])
 
 
-def serve_readiness(address, path, ready):
+def serve_readiness(address: str, path: str, ready: collections.abc.Callable[[], bool]) -> None:
     """Serve `path` on an address of its own: status 200 if this process accepts requests, else 503."""
 
-    def app(environ, start_response):
+    def app(environ: http_server.Environ, start_response: http_server.StartResponse) -> list[bytes]:
         is_ready = environ["PATH_INFO"] == path and ready()
         return http_server.respond(start_response, 200 if is_ready else 503, {"ready": is_ready})
 
