Tests: the sockets of a test process have an address of their own

Stand-ins, routers and keepers of a test process now listen at a loopback address made of its process id, as real fleets do; no assertion changed.

--- a/tests/bare_http.py
+++ b/tests/bare_http.py
@@ -1,6 +1,7 @@
 """Minimal HTTP on plain sockets, for stand-ins that must also be able to send malformed messages."""
 
 import dataclasses
+import os
 import socket
 import threading
 
@@ -61,12 +62,15 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+OWN_HOST = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}.250"  # no other test process uses its ports
+
+
 class Listener:
     """Accepts connections and serves the requests of each in turn."""
 
     def __init__(self):
-        self.server = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        self.server = socket.create_server((OWN_HOST, 0), backlog=64)
+        self.address = f"{OWN_HOST}:{self.server.getsockname()[1]}"
         self.conns = []
         threading.Thread(target=self.accept, daemon=True).start()
 
--- a/tests/platform_nodes.py
+++ b/tests/platform_nodes.py
@@ -7,9 +7,9 @@
 import mothshed.control_plane.keeper as keeper_module
 import mothshed.data_plane.router as router_module
 import mothshed.storage.disk as disk
+import tests.bare_http as bare_http
 import tests.platform_site as platform_site
 import tests.platform_stand_in as stand_in
-import tools.fleet as fleet
 
 
 class Nodes:
@@ -30,7 +30,7 @@
         settings = {
             "name": "k",
             "address": place,
-            "http": f"127.0.0.1:{fleet.free_port('127.0.0.1')}",
+            "http": platform_site.free_address(),
             "cell": "a",
             "seeds": [place],
             "first_keepers": [place],
@@ -49,7 +49,7 @@
             {
                 "name": "r",
                 "address": other.address,
-                "http": "127.0.0.1:0",
+                "http": f"{bare_http.OWN_HOST}:0",
                 "cell": "a",
                 "seeds": [place],
                 "list_url": list_url,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -17,6 +17,7 @@
 import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.runtime.timers as timers
 import mothshed.transport.peers as peers
+import tests.bare_http as bare_http
 import tests.platform_stand_in as stand_in
 import tools.fleet as fleet
 
@@ -133,9 +134,14 @@
     duration_s: float
 
 
+def free_address():
+    """Return an address at which nothing listens and no other test process will."""
+    return f"{bare_http.OWN_HOST}:{fleet.free_port(bare_http.OWN_HOST)}"
+
+
 def environment():
-    host = f"127.0.0.1:{fleet.free_port('127.0.0.1')}"
-    return environment_module.Environment(timers.Timers(), peers.Peers(host), host)
+    address = free_address()
+    return environment_module.Environment(timers.Timers(), peers.Peers(address), address)
 
 
 def serve(server):
@@ -178,7 +184,7 @@
         settings = {
             "name": "r",
             "address": self.environment.address,
-            "http": "127.0.0.1:0",
+            "http": f"{bare_http.OWN_HOST}:0",
             "cell": "a",
             "seeds": [self.environment.address],
             "list_url": f"http://{self.platform.address}",
