Tests: a stopped keeper of the nodes in one process no longer polls the list

Traced (trial): 0.5 s apart, GET /replicas goes on to the port of a platform whose Nodes were stopped (12 in 6 s), until the test process ends; a replica of a later test may get that port. The list is read by a thread that stopping the mailbox doesn't end. A stopped Site had none before either.

--- a/tests/platform_nodes.py
+++ b/tests/platform_nodes.py
@@ -66,6 +66,8 @@
         """Stop everything; a running keeper or router would keep polling the list of the stopped platform."""
         for environment in (*self.environments, *self.part_environments):
             environment.stop()
+        for task in self.keeper.leader_tasks:  # the list's has a thread of its own
+            task.stop()
         for server in (self.keeper_server, self.router_server):
             server.stop()
         for listener in (self.replica, self.platform, *(d.peers for d in self.environments)):
