--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -38,3 +38,25 @@
     response = conn.getresponse()
     assert response.status == 200 and len(response.read()) in (0, 100000, 8)
     conn.close()
+
+
+# Guards against a request that is closed without an answer because every thread of the server is busy for a while.
+def test_a_whole_request_that_waits_for_a_thread_is_answered(address):
+    statuses = []
+
+    def ask():
+        conn = http.client.HTTPConnection(*address, timeout=10)
+        try:
+            conn.request("GET", "/configuration")
+            statuses.append(conn.getresponse().status)
+        except http.client.RemoteDisconnected:
+            statuses.append(0)
+        finally:
+            conn.close()
+
+    threads = [threading.Thread(target=ask) for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert 0 not in statuses
