The head of a response is validated whole, by the grammar, before anything of it is used

What callers saw: a replica sent an answer in whose head the name of a field held a blank or a control byte. It came to the client as an answer: with the bytes of chunks or of the rest of the connection as its body, without the fields after the line, or with the line passed on as a fold of the field before.

Cause: the standard library ends a head at the first line that it can't parse and keeps the rest as a payload that nobody reads, so Content-Length and Transfer-Encoding after it are lost. A bare CR ends a line for it as well, a line that begins with a blank is joined to the one before, and the status is read by int() ("0200", "2_0_0", "+200", HTTP/1.banana).

Change: http/message_grammar knows the lines of RFC 9112 and 9110, http/response_head reads the head with it and says what frames the body; the library's own parser is no longer called for any exchange of ours on these connections. A malformed head ends the exchange as one that may have run, the connection is closed, and the error quotes nothing of it. Framing that is told twice or unclearly is refused there too, for both ways of sending (before: for pooled sends only). Interim heads are validated and skipped, whichever of 1xx they are but 101; before, other ones than 100 were refused or taken for the end. Folded lines, bare LF, and statuses above 599 (invalid by RFC 9110, section 15) are no answer any more.

Why it works: nothing is taken from a head before each of its lines has matched, so no reader after it can see other lines than were matched.

--- a/mothshed/data_plane/delivery.py
+++ b/mothshed/data_plane/delivery.py
@@ -22,9 +22,9 @@
 import mothshed.data_plane.routes as routes
 import mothshed.data_plane.send_counts as send_counts
 import mothshed.data_plane.stage_times as stage_times
-import mothshed.http.connection as connection
 import mothshed.http.events as events
 import mothshed.http.http_client as http_client
+import mothshed.http.response_head as response_head
 import mothshed.replicas.verdict as verdict
 
 NOT_RUN = verdict.Verdict.NOT_RUN
@@ -223,7 +223,7 @@
         self.replica_response = None
         try:
             if self.route["kind"] == "stream":
-                ends_with_connection = reply.status == 200 and reply.framing is connection.Framing.CONNECTION
+                ends_with_connection = reply.status == 200 and reply.framing is response_head.Framing.CONNECTION
                 remaining_events = events.split_events(reply.pieces(), ends_with_connection)
                 response_start = response_start_module.ResponseStart(
                     reply, *next(remaining_events, (b"", None)), remaining_events
--- a/mothshed/http/connection.py
+++ b/mothshed/http/connection.py
@@ -3,12 +3,11 @@
 A read that times out ends an exchange only if nobody watches it. A watcher is called with the silent socket; it
 returns if the read is to go on, with the timeout for that, or raises what ends the exchange.
 
-The library takes the end of a connection for the end of a head. As a response may declare no length and end with its
-connection, a head that is cut off would pass for a whole one; here it is an error.
+Heads are read by response_head, as the library takes the end of a connection, and any line that it can't parse, for the
+end of a head, and ignores the fields after it.
 """
 
 import collections.abc
-import enum
 import http.client
 import io
 import select
@@ -18,6 +17,8 @@
 import urllib3.connection
 
 import mothshed.constants as constants
+import mothshed.http.message_grammar as message_grammar
+import mothshed.http.response_head as response_head
 
 SilenceWatcher = collections.abc.Callable[[socket.socket], float]  # returns the timeout of the next read, in seconds
 
@@ -78,36 +79,10 @@
         super().close()
 
 
-class Framing(enum.Enum):
-    """What shows where the body of a response ends (RFC 9112, section 6.3)."""
-
-    NO_BODY = "no body"
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "end of the connection"
-
-
-class HeadLines:
-    """The lines of a response's head; raises RemoteDisconnected if the connection ends before an empty line."""
-
-    def __init__(self, file: typing.Any) -> None:
-        self.file = file
-
-    def readline(self, limit: int) -> bytes:
-        """Return the next line, with its end unless it is longer than limit bytes."""
-        line: bytes = self.file.readline(limit)
-        if len(line) < limit and not line.endswith(b"\n"):
-            raise http.client.RemoteDisconnected("the connection ended within the head")
-        return line
-
-    def close(self) -> None:
-        """Close the file that is read."""
-        self.file.close()
-
-
 class Response(http.client.HTTPResponse):
     """A response that survives silences, and detects bytes after its end, which the library would drop."""
 
+    framing: response_head.Framing  # once the head has been read
     has_surplus = False
 
     def __init__(self, sock: socket.socket, *args: typing.Any, connection: "Connection", **options: typing.Any) -> None:
@@ -116,22 +91,21 @@
         self.fp = io.BufferedReader(WatchedReader(typing.cast(socket.SocketIO, file), sock, connection))
 
     def begin(self) -> None:
-        """Read the head; raises RemoteDisconnected if it is cut off."""
-        file = self.fp
-        self.fp = typing.cast(io.BufferedReader, HeadLines(file))
-        try:
-            super().begin()
-        finally:
-            if self.fp is not None:  # the library closes it after a malformed status line
-                self.fp = file
-
-    def framing(self) -> Framing:
-        """Return what shows the end of the body, according to the head."""
-        if self._method == "HEAD" or self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
-            return Framing.NO_BODY
-        if self.chunked:
-            return Framing.CHUNKS
-        return Framing.CONNECTION if self.length is None else Framing.LENGTH
+        """Read and validate the head; called by the standard library, whose own parser skips what it can't read.
+
+        Raises MalformedMessageError, or http.client.RemoteDisconnected if the connection ends before the head does.
+        """
+        if self.headers is not None:
+            return
+        head = response_head.read_head(typing.cast(message_grammar.LineFile, self.fp), self._method)
+        self.framing = head.framing
+        self.code = self.status = head.status_line.status
+        self.reason = head.status_line.reason
+        self.version = 10 if head.status_line.minor_version == 0 else 11
+        self.headers = self.msg = head.message()
+        self.chunked, self.chunk_left = head.framing is response_head.Framing.CHUNKS, None
+        self.length = head.body_bytes()
+        self.will_close = head.framing is response_head.Framing.CONNECTION or self._check_close()
 
     def end(self) -> None:
         """Stop reading after the end of the body; from then on `has_surplus` says whether bytes followed it."""
--- a/mothshed/http/connection_pool.py
+++ b/mothshed/http/connection_pool.py
@@ -146,7 +146,6 @@
             conn.request(method, target, body=body, headers=headers, preload_content=False, decode_content=False)
             conn.timeout = max(read_timeout_s, 0.01)  # for the library, which sets it for the reads
             raw = conn.getresponse()
-            reply_module.check_framing(raw)
             return reply_module.Reply(self, address, conn, sock, raw, cancellation)
         except BaseException as error:
             cancellation.release()
--- a/mothshed/http/reply.py
+++ b/mothshed/http/reply.py
@@ -5,32 +5,17 @@
 """
 
 import collections.abc
-import re
 import socket
 import typing
 
-import urllib3
-
 import mothshed.constants as constants
 import mothshed.http.chunked as chunked
 import mothshed.http.connection as connection_module
 import mothshed.http.http_client as http_client
+import mothshed.http.response_head as response_head
 import mothshed.runtime.cancellation as cancellation_module
 
-Framing = connection_module.Framing
-LENGTH = re.compile(r"[0-9]{1,15}")
-
-
-def check_framing(raw: urllib3.BaseHTTPResponse) -> None:
-    """Raise ExchangeError if the headers say in several ways, or unclearly, where the body ends."""
-    lengths = raw.headers.getlist("content-length")
-    codings = [coding.lower() for coding in raw.headers.getlist("transfer-encoding")]
-    if raw.status < 200:
-        raise http_client.ExchangeError("head is of no final status", True)
-    if codings and (lengths or codings != ["chunked"]):
-        raise http_client.ExchangeError("head says in two ways where its body ends", True)
-    if len(lengths) > 1 or lengths and not LENGTH.fullmatch(lengths[0]):
-        raise http_client.ExchangeError("head says no clear length", True)
+Framing = response_head.Framing
 
 
 class Reply:
@@ -48,7 +33,7 @@
         self.pool, self.address, self.conn, self.sock, self.raw = pool, address, conn, sock, raw
         self.cancellation = cancellation
         self.response = raw._original_response
-        self.framing = self.response.framing()
+        self.framing = self.response.framing
         self.status, self.reason, self.headers = raw.status, raw.reason or "", raw.headers
         self.complete = False
 
--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,84 @@
+"""Replicas whose responses have a head that violates the grammar: no client gets them as an answer."""
+
+import pytest
+
+import tests.broken_heads as broken_heads
+import tests.framed_replicas as framed
+import tests.platform_site as platform_site
+
+Framing, Place = broken_heads.Framing, broken_heads.Place
+CALLS = {
+    "stream that may be resumed": {"kind": "stream", "resumable": True},
+    "stream that may not be repeated": {"kind": "stream", "resumable": False},
+    "body of a call that may be repeated": {"kind": "repeatable"},
+    "body of a call that may not be repeated": {"kind": "once_only"},
+}
+MAY_RUN_AGAIN = ("stream that may be resumed", "body of a call that may be repeated")
+BROKEN_BODY = framed.body_of("broken")
+
+
+@pytest.fixture(scope="module")
+def site():
+    found = platform_site.Site()
+    yield found
+    found.stop()
+
+
+def check_outcome(site, call, response_of):
+    """Ask for a call whose first replica sends these bytes, and judge what the client gets of it."""
+    host, replicas = site.service("dd", engine=False, tries=3, **CALLS[call])
+    broken_heads.serve_response_once(site, replicas, response_of)
+    client = framed.RawClient(site.address)
+    request_id = framed.new_request_id()
+    response = client.ask(host, request_id)
+    client.close()
+    assert b"vil" not in response.head and b"broken" not in response.head + response.body
+    assert response.is_complete and response.surplus == b"" and not response.field("x-other")
+    if call in MAY_RUN_AGAIN:
+        assert response.head.startswith(b"HTTP/1.1 200 ") and response.body == framed.body_of("word")
+        assert len(site.platform.ran(request_id)) == 2
+    else:
+        assert response.head.startswith(b"HTTP/1.1 502 ") and b'"may_have_run"' in response.body
+        assert b"vil" not in response.body and len(site.platform.ran(request_id)) == 1
+
+
+# Incident of broken answers (MIXED): a field name with a blank or a control byte was passed on, or changed the body.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("framing", Framing)
+@pytest.mark.parametrize("place", Place)
+@pytest.mark.parametrize("line", broken_heads.NAMES_WITH_BLANK_OR_CONTROL)
+def test_a_field_name_with_a_blank_or_control_byte_is_no_answer(site, line, place, framing, call):
+    check_outcome(site, call, lambda fields: broken_heads.broken_response(line, place, framing, BROKEN_BODY, fields))
+
+
+@pytest.mark.parametrize("call", MAY_RUN_AGAIN)
+@pytest.mark.parametrize("place", Place)
+@pytest.mark.parametrize("line", broken_heads.OTHER_BROKEN_LINES)
+def test_another_line_that_is_no_field_is_no_answer(site, line, place, call):
+    check_outcome(
+        site, call, lambda fields: broken_heads.broken_response(line, place, Framing.CHUNKS, BROKEN_BODY, fields)
+    )
+
+
+# Incident of broken answers: an answer of status 000 was passed on.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("framing", Framing)
+def test_an_answer_of_status_000_is_no_answer(site, framing, call):
+    check_status_line(site, b"HTTP/1.1 000 Said", framing, call)
+
+
+@pytest.mark.parametrize("call", ["stream that may be resumed", "body of a call that may not be repeated"])
+@pytest.mark.parametrize("status_line", broken_heads.BROKEN_STATUS_LINES)
+def test_an_answer_with_a_malformed_status_line_is_no_answer(site, status_line, call):
+    check_status_line(site, status_line, Framing.LENGTH, call)
+
+
+def check_status_line(site, status_line, framing, call):
+    """Judge an answer with this status line, whose fields are sound."""
+    framing_fields = broken_heads.framing_fields_of(framing, BROKEN_BODY)
+
+    def response_of(fields):
+        lines = [b"%s: %s" % field for field in [*fields, *framing_fields]]
+        return broken_heads.message(status_line, lines, framing, BROKEN_BODY)
+
+    check_outcome(site, call, response_of)
--- a/tools/load_model/parts.py
+++ b/tools/load_model/parts.py
@@ -9,7 +9,7 @@
 import mothshed.control_plane.config_machine as config_machine
 import mothshed.control_plane.load_leader_task as load_leader_task
 import mothshed.data_plane.route_front as route_front
-import mothshed.http.connection as connection
+import mothshed.http.response_head as response_head
 import mothshed.replicas.replica_load as replica_load
 import mothshed.storage.disk_log as disk_log
 import mothshed.transport.constants as transport_constants
@@ -156,7 +156,7 @@
     """A complete response of a replica: a head, then single events."""
 
     status, reason, headers = 200, "OK", {"Content-Type": "text/event-stream"}
-    framing = connection.Framing.CHUNKS
+    framing = response_head.Framing.CHUNKS
 
     def __init__(self, events):
         self.events = events
