Polls and the operator's commands read responses as the sends to replicas do

What users saw: a list, a condition or a released handle for a pooled poll, and the answer of a keeper for a command of the operator, were taken from a response whose head was malformed: a list cut at a wrong length, a release counted as done, a status "2_0_0" taken for 200.

These two use the library's pools, whose connections had the library's own parser; the strict reader of heads was built into the connections of the sends only, and framing was checked in one of the two ways of sending.

Change: connection.AddressPools are the library's pools with our connections, used by HttpClient.poll and by operator_client. The check for bytes after a response leaves the socket its timeout, since the library uses these again.

--- a/mothshed/http/connection.py
+++ b/mothshed/http/connection.py
@@ -14,6 +14,7 @@
 import socket
 import typing
 
+import urllib3
 import urllib3.connection
 
 import mothshed.constants as constants
@@ -114,9 +115,11 @@
 
     def _close_conn(self) -> None:
         try:
-            file = self.fp
-            file.raw.sock.settimeout(0)
-            self.has_surplus = bool(file.peek(1))
+            sock = self.fp.raw.sock
+            timeout_s = sock.gettimeout()
+            sock.settimeout(0)
+            self.has_surplus = bool(self.fp.peek(1))
+            sock.settimeout(timeout_s)
         except (OSError, ValueError, AttributeError):  # the connection is already closed
             pass
         super()._close_conn()
@@ -130,3 +133,17 @@
     def response_class(self, *args: typing.Any, **options: typing.Any) -> Response:
         """Create a response of this connection; called by the standard library."""
         return Response(*args, connection=self, **options)
+
+
+class AddressPool(urllib3.HTTPConnectionPool):
+    """The library's pool of connections to one address, which reads responses as all exchanges here do."""
+
+    ConnectionCls = Connection
+
+
+class AddressPools(urllib3.PoolManager):
+    """The library's pools by address, for small exchanges without TLS."""
+
+    def __init__(self, **options: typing.Any) -> None:
+        super().__init__(**options)
+        self.pool_classes_by_scheme = {"http": AddressPool}
--- a/mothshed/http/http_client.py
+++ b/mothshed/http/http_client.py
@@ -80,7 +80,7 @@
 
 class HttpClient:
     def __init__(self):
-        self.pools = urllib3.PoolManager(num_pools=constants.MAX_CONNECTION_POOLS, maxsize=4, retries=False)
+        self.pools = connection.AddressPools(num_pools=constants.MAX_CONNECTION_POOLS, maxsize=4, retries=False)
 
     def send(
         self,
--- a/mothshed/programs/operator_client.py
+++ b/mothshed/programs/operator_client.py
@@ -7,6 +7,7 @@
 import urllib3
 
 import mothshed.constants as constants
+import mothshed.http.connection as connection
 import mothshed.http.http_client as http_client
 
 
@@ -38,7 +39,7 @@
 
     All addresses are tried in turn until MIN_QUERY_TIME_S has passed and MIN_QUERY_ATTEMPTS calls were made.
     """
-    pool, last = urllib3.PoolManager(), (503, {"error": {"message": "no address answered", "verdict": "not_run"}})
+    pool, last = connection.AddressPools(), (503, {"error": {"message": "no address answered", "verdict": "not_run"}})
     calls, deadline = 0, time.monotonic() + constants.MIN_QUERY_TIME_S
     while calls < constants.MIN_QUERY_ATTEMPTS or time.monotonic() < deadline:
         for address in addresses:
@@ -91,7 +92,7 @@
 
 def fetch_each(addresses, path, text=False):
     """Return each address with its current answer, or None if there is none; a 503 response counts as an answer."""
-    pool, answers = urllib3.PoolManager(), {}
+    pool, answers = connection.AddressPools(), {}
     for address in addresses:
         try:
             response = pool.request(
