The trailer of a response is validated by the grammar of its head

What callers saw: an answer that a malformed trailer ends (a name with a blank or a control byte, a line without a name) was taken for whole, and on kept connections the next request followed on the same connection.

Cause: trailers were skipped line by line, without a look at them. The same cause as for heads.

Change: the chunked body of a response reads its trailer with http/message_grammar; a malformed one makes the answer an incomplete one. A whole body is not delivered, a stream that may be resumed goes on elsewhere, another breaks visibly. Trailers of requests stay as they are: tests/test_request_bodies.py has one that must be skipped.

Sound trailers, with empty and non-ASCII values, end an answer as before.

--- a/mothshed/http/chunked.py
+++ b/mothshed/http/chunked.py
@@ -6,11 +6,13 @@
 more is read than requested, and the trailer is read and discarded.
 """
 
+import http.client
 import re
 import sys
 import typing
 
 import mothshed.constants as constants
+import mothshed.http.message_grammar as message_grammar
 
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 
@@ -71,3 +73,16 @@
                 return
             remaining -= len(line)
         raise BadChunk("the trailer is too long")
+
+
+class ResponseBody(ChunkedBody):
+    """The chunked body of a response; its trailer is validated as the head is."""
+
+    def read_trailer(self) -> None:
+        """Read and discard the trailer; raises BadChunk if it is malformed or truncated."""
+        reader = message_grammar.MessageReader(self.file, constants.MAX_HEADER_BYTES)
+        try:
+            reader.read_fields()
+        except (message_grammar.MalformedMessageError, http.client.RemoteDisconnected) as error:
+            raise BadChunk(f"trailer: {error}") from error
+        self.complete = True
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -82,3 +82,39 @@
         return broken_heads.message(status_line, lines, framing, BROKEN_BODY)
 
     check_outcome(site, call, response_of)
+
+
+def respond_with_trailer(site, line, **call):
+    """Ask for a call whose first replica ends its chunks with this trailer; return what the client gets."""
+    host, replicas = site.service("dd", engine=False, tries=3, **call)
+    body = framed.bare_http.chunk(BROKEN_BODY) + b"0\r\n" + line + b"\r\n\r\n"
+
+    def response_of(fields):
+        lines = [b"%s: %s" % field for field in [*fields, (b"Transfer-Encoding", b"chunked")]]
+        return b"\r\n".join([broken_heads.STATUS_LINE, *lines, b"", b""]) + body
+
+    broken_heads.serve_response_once(site, replicas, response_of)
+    return framed.ask(site, host)
+
+
+# Guards against an answer that is taken for whole though a malformed trailer ends it.
+@pytest.mark.parametrize("line", broken_heads.NAMES_WITH_BLANK_OR_CONTROL)
+@pytest.mark.parametrize("kind, status, body", [("once_only", b"502", b""), ("repeatable", b"200", b"word")])
+def test_a_whole_body_before_a_malformed_trailer_is_no_answer(site, kind, status, body, line):
+    _id, response = respond_with_trailer(site, line, kind=kind)
+    assert response.head.split()[1] == status and response.is_complete
+    assert b"broken" not in response.body and body in response.body
+
+
+@pytest.mark.parametrize("line", broken_heads.NAMES_WITH_BLANK_OR_CONTROL)
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_stream_before_a_malformed_trailer_is_not_complete(site, resumable, line):
+    request_id, response = respond_with_trailer(site, line, kind="stream", resumable=resumable)
+    assert response.body == BROKEN_BODY and response.is_complete == resumable  # another run confirms its end
+    assert len(site.platform.ran(request_id)) == 1 + resumable
+
+
+@pytest.mark.parametrize("kind", ["stream", "repeatable", "once_only"])
+def test_a_sound_trailer_ends_an_answer(site, kind):
+    request_id, response = respond_with_trailer(site, b"X-After: \xe9\r\nEmpty:", kind=kind)
+    assert response.body == BROKEN_BODY and response.is_complete and len(site.platform.ran(request_id)) == 1
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -186,6 +186,13 @@
     check_refused(server, read, CHUNKED_HEAD + chunks)
 
 
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("line", broken_heads.NAMES_WITH_BLANK_OR_CONTROL + broken_heads.OTHER_BROKEN_LINES)
+def test_a_malformed_trailer_is_no_answer(server, line, read):
+    check_refused(server, read, CHUNKED_HEAD + bare_http.chunk(BODY) + b"0\r\n" + line + b"\r\n\r\n")
+    check_refused(server, read, CHUNKED_HEAD + bare_http.chunk(BODY) + b"0\r\nX-A: 1\r\n" + line + b"\r\n\r\n")
+
+
 @pytest.mark.parametrize("read", READERS.values(), ids=READERS)
 @pytest.mark.parametrize("size", [SIZE, SIZE.upper(), b"000" + SIZE, SIZE + b" \t", SIZE + b';name="v;\xe9"'])
 @pytest.mark.parametrize("trailer", [b"", b"X-After: 1\r\n", b"A:\r\nB:\t\xe9 \t\r\n"])
