An idle time that is no short number no longer loses a whole answer

What callers saw: a replica's answer whose Keep-Alive told an idle time of more than 4,300 digits was read whole, and then lost: 502 "internal fault" for a whole body, a cut connection after a stream.

Cause: the number is read by int(), which refuses such lengths with a ValueError, after the body's end where none is expected.

Change: a timeout of up to nine digits is obeyed; any other text counts as none that was told, as before for text.

Evidence: 2 of 14 cases of test_an_answer_is_whole_whatever_idle_time_its_head_tells fail without the change, none with it.

--- a/mothshed/http/connection_pool.py
+++ b/mothshed/http/connection_pool.py
@@ -20,7 +20,7 @@
 import mothshed.http.reply as reply_module
 import mothshed.runtime.cancellation as cancellation_module
 
-KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,9})(?![0-9])")
 
 
 def is_idle(conn):
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -118,3 +118,16 @@
 def test_a_sound_trailer_ends_an_answer(site, kind):
     request_id, response = respond_with_trailer(site, b"X-After: \xe9\r\nEmpty:", kind=kind)
     assert response.body == BROKEN_BODY and response.is_complete and len(site.platform.ran(request_id)) == 1
+
+
+# Guards against a number of a head that int() refuses, for which a whole answer was lost.
+@pytest.mark.parametrize("value", ["9" * 5000, "9" * 20, "-5", "0", "\xb2", "", "x"], ids=lambda value: value[:20])
+@pytest.mark.parametrize("kind", ["stream", "once_only"])
+def test_an_answer_is_whole_whatever_idle_time_its_head_tells(site, kind, value):
+    run = framed.Run(Framing.LENGTH, headers=(("Keep-Alive", f"timeout={value}"),))
+    host, _replicas = framed.serve_runs(site, run, legs="d", kind=kind, resumable=False)
+    client = framed.RawClient(site.address)
+    for _request in range(2):
+        response = client.ask(host, framed.new_request_id())
+        assert response.body == framed.body_of("word") and response.is_complete and client.is_open
+    client.close()
