--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -11,7 +11,7 @@
 Framing = framed.Framing
 STATUS_LINE = b"HTTP/1.1 200 Said"
 CONTROL_BYTES = bytes([*range(0x20), 0x7F])
-SEPARATORS = b'"(),/:;<=>?@[\\]{}'  # of RFC 9110, section 5.6.2: never part of a name
+TOKEN_BYTES = b"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"  # of a name
 BLANKS_AND_CONTROLS = CONTROL_BYTES + b" "
 
 NAMES_WITH_BLANK_OR_CONTROL = [
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -131,3 +131,43 @@
         response = client.ask(host, framed.new_request_id())
         assert response.body == framed.body_of("word") and response.is_complete and client.is_open
     client.close()
+
+
+SOUND_FIELDS = [
+    (broken_heads.TOKEN_BYTES, b"v"),
+    (b"X-Empty", b""),
+    (b"X-Tab", b"a\tb  c"),
+    (b"X-Separators", b'"(),/:;<=>?@[\\]{}'),
+    (b"X-High", bytes(range(0x80, 0x100))),
+    (b"X-Twice", b"1"),
+    (b"X-Twice", b"2"),
+    (b"From", b"x y: z"),
+    (b"X-Long", b"a" * 60000),
+]
+
+
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("framing", Framing)
+@pytest.mark.parametrize("reason", [b"Said", b"", b"\xe9t\xe9 (\t)"])
+def test_whatever_the_grammar_allows_reaches_the_client_byte_for_byte(site, reason, framing, call):
+    def response_of(fields):
+        own_fields = [*SOUND_FIELDS[:4], *fields, *broken_heads.framing_fields_of(framing, BROKEN_BODY)]
+        lines = [name + b":" + value + b" \t" for name, value in [*own_fields, *SOUND_FIELDS[4:]]]
+        return broken_heads.message(b"HTTP/1.1 200 " + reason, lines, framing, BROKEN_BODY)
+
+    host, replicas = site.service("d", engine=False, **CALLS[call])
+    broken_heads.serve_response_once(site, replicas, response_of)
+    _id, response = framed.ask(site, host)
+    status_line, *lines = response.head.split(b"\r\n")
+    assert status_line == (b"HTTP/1.1 200 " + reason) and response.is_complete and response.body == BROKEN_BODY
+    own_names = {name for name, _value in SOUND_FIELDS}
+    assert [line for line in lines if line.partition(b":")[0] in own_names] == [
+        name + b": " + value for name, value in SOUND_FIELDS
+    ]
+
+
+@pytest.mark.parametrize("status", [200, 203, 299, 300, 399, 400, 499, 500, 599])
+def test_every_final_status_of_the_grammar_reaches_the_client(site, status):
+    host, _replicas = framed.serve_runs(site, framed.Run(Framing.LENGTH, status=status), legs="d", kind="once_only")
+    _id, response = framed.ask(site, host)
+    assert response.head.startswith(b"HTTP/1.1 %d Said" % status) and response.body == framed.body_of("word")
