--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -171,3 +171,22 @@
     host, _replicas = framed.serve_runs(site, framed.Run(Framing.LENGTH, status=status), legs="d", kind="once_only")
     _id, response = framed.ask(site, host)
     assert response.head.startswith(b"HTTP/1.1 %d Said" % status) and response.body == framed.body_of("word")
+
+
+# Guards against a handle that is taken from a malformed answer to a prefill.
+@pytest.mark.parametrize("framing", Framing)
+@pytest.mark.parametrize("place", Place)
+@pytest.mark.parametrize("line", [b"X Evil: 1", b"X\x01Evil: 1", b" X-Evil: 1"])
+def test_a_prefill_with_a_malformed_head_gives_no_handle(site, line, place, framing):
+    host, (prefill_replica, decode_replica) = site.service("pd")
+    body = b'{"consignment": "h1", "tokens": 1, "edition": 1}'
+
+    def take(conn, request, fault):
+        fields = [(b"Try-Id", request.get("Try-Id").encode()), (b"Content-Type", b"application/json")]
+        conn.sendall(broken_heads.broken_response(line, place, framing, body, fields))
+        return False
+
+    prefill_replica.take = take
+    _id, answer = site.ask(host)
+    assert answer.complete and answer.body == platform_site.event_bytes()
+    assert prefill_replica.requests and not decode_replica.requests[0].get("Cache-From")
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -1,13 +1,16 @@
 """Every way in which a response is read: one with a malformed head is an error that proves nothing."""
 
 import dataclasses
+import json
 import types
 
 import pytest
 
+import mothshed.http.caller as caller_module
 import mothshed.programs.environment as environment_module
 import mothshed.replicas.platform_list as platform_list
 import mothshed.replicas.replica_adapter as replica_adapter
+import mothshed.replicas.verdict as verdict
 import tests.broken_heads as broken_heads
 import tests.platform_site as platform_site
 import tests.response_readers as response_readers
@@ -142,6 +145,19 @@
     "release on the platform": lambda environment, address: PLATFORM.release_handle(environment, handle_at(address)),
     "order on the platform": lambda environment, address: PLATFORM.order_role(*order_to(environment, address)),
 }
+PREFILL_ANSWER = json.dumps(
+    {
+        "id": "cmpl-t.1",
+        "kv_transfer_params": {
+            "remote_engine_id": "e",
+            "remote_block_ids": [1],
+            "remote_host": "h",
+            "remote_port": 1,
+            "remote_request_id": "t.1",
+        },
+    }
+).encode()
+STREAM = b'data: {"id": "cmpl-t.1", "choices": [{"text": "x", "finish_reason": "stop"}]}\n\ndata: [DONE]\n\n'
 PLATFORM = platform_site.replica_protocol.PlatformReplicaProtocol()
 
 
@@ -164,3 +180,36 @@
     for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
         response = broken_heads.broken_response(line, place, Framing.LENGTH, response_readers.BODY)
         response_readers.check_refused(server, lambda address: call(environment, address), response)
+
+
+def request_of_our_protocol():
+    """Return a request that may be sent to replicas of our own protocol."""
+    return types.SimpleNamespace(id="t", body={"prompt": "x"}, path="/v1/completions", caller=caller_module.Caller())
+
+
+def prefill(environment, endpoint):
+    """Request a prefill by our own protocol."""
+    return replica_adapter.prefill(environment, request_of_our_protocol(), "t.1", endpoint, 1, 2.0, lambda: True)
+
+
+def decode(environment, endpoint):
+    """Request a decode by our own protocol, and read its stream."""
+    handle = dataclasses.replace(OWN_HANDLE, created_at=environment.now())
+    return list(
+        replica_adapter.decode(environment, request_of_our_protocol(), "t.1", endpoint, handle, 1, 2.0, lambda: True)
+    )
+
+
+# Guards against a prefill or a stream of our own protocol that counts as done for a broken answer.
+@pytest.mark.parametrize("place", Place)
+@pytest.mark.parametrize("send, body", [(prefill, PREFILL_ANSWER), (decode, STREAM)], ids=["prefill", "decode"])
+def test_a_malformed_answer_to_a_send_of_our_protocol_may_have_run(server, send, body, place):
+    environment = environment_module.BlockingEnvironment()
+    endpoint = types.SimpleNamespace(name="i", url=f"http://{server.address}", engine="e")
+    server.responses = [broken_heads.message(broken_heads.STATUS_LINE, [], Framing.CONNECTION, body)]
+    assert send(environment, endpoint)
+    for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
+        server.responses = [broken_heads.broken_response(line, place, Framing.CHUNKS, body)]
+        with pytest.raises(verdict.SendFailure) as failure:
+            send(environment, endpoint)
+        assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN and "vil" not in str(failure.value)
