--- a/mothshed/http/chunked.py
+++ b/mothshed/http/chunked.py
@@ -61,28 +61,25 @@
             self.read_trailer()
         return bool(self.remaining_bytes)
 
-    def read_trailer(self) -> None:
-        """Read and discard the trailer; raises BadChunk."""
-        remaining = constants.MAX_HEADER_BYTES
-        while remaining > 0:
-            line = self.file.readline(remaining)
-            if not line.endswith(b"\r\n"):
-                raise BadChunk("the trailer is not whole")
-            if line == b"\r\n":
-                self.complete = True
-                return
-            remaining -= len(line)
-        raise BadChunk("the trailer is too long")
-
-
-class ResponseBody(ChunkedBody):
-    """The chunked body of a response; its trailer is validated as the head is."""
-
     def read_trailer(self) -> None:
         """Read and discard the trailer; raises BadChunk if it is malformed or truncated."""
         reader = message_grammar.MessageReader(self.file, constants.MAX_HEADER_BYTES)
         try:
-            reader.read_fields()
+            while (line := reader.read_line()) != message_grammar.LINE_END:
+                self.check_trailer_line(line)
         except (message_grammar.MalformedMessageError, http.client.RemoteDisconnected) as error:
             raise BadChunk(f"trailer: {error}") from error
         self.complete = True
+
+    def check_trailer_line(self, line: bytes) -> None:
+        """Raise BadChunk if a line of the trailer does not end with CRLF."""
+        if not line.endswith(message_grammar.LINE_END):
+            raise BadChunk("a line of the trailer is not whole")
+
+
+class ChunkedResponseBody(ChunkedBody):
+    """The chunked body of a response; its trailer is validated as the head is."""
+
+    def check_trailer_line(self, line: bytes) -> None:
+        """Raise MalformedMessageError if a line of the trailer is no field."""
+        message_grammar.parse_field_line(line)
--- a/mothshed/http/connection.py
+++ b/mothshed/http/connection.py
@@ -85,7 +85,7 @@
     """A response that survives silences, and detects bytes after its end, which the library would drop."""
 
     framing: response_head.Framing  # once the head has been read
-    chunked_body: chunked.ResponseBody | None = None
+    chunked_body: chunked.ChunkedResponseBody | None = None
     has_surplus = False
 
     def __init__(self, sock: socket.socket, *args: typing.Any, connection: "Connection", **options: typing.Any) -> None:
@@ -107,7 +107,7 @@
         self.version = 10 if head.status_line.minor_version == 0 else 11
         self.headers = self.msg = head.message()
         self.chunked, self.chunk_left = head.framing is response_head.Framing.CHUNKS, None
-        self.chunked_body = chunked.ResponseBody(self.fp) if self.chunked else None
+        self.chunked_body = chunked.ChunkedResponseBody(self.fp) if self.chunked else None
         self.length = head.body_bytes()
         self.will_close = head.framing is response_head.Framing.CONNECTION or self._check_close()
 
--- a/tests/response_readers.py
+++ b/tests/response_readers.py
@@ -15,6 +15,13 @@
 READ_TIMEOUT_S = 2.0
 
 
+@pytest.fixture(scope="module")
+def server():
+    found = broken_heads.RawServer()
+    yield found
+    found.stop()
+
+
 def read_by_exchange(address):
     """Return the fields and the body of a response to a send on a kept connection."""
     pool = connection_pool.ConnectionPool(lambda: 0.0)
--- a/tests/test_chunked_responses.py
+++ b/tests/test_chunked_responses.py
@@ -6,6 +6,7 @@
 import tests.broken_heads as broken_heads
 import tests.response_readers as response_readers
 
+server = response_readers.server
 CHUNKED_HEAD = b"\r\n".join([broken_heads.STATUS_LINE, b"Transfer-Encoding: chunked", b"", b""])
 SIZE = b"%x" % len(response_readers.BODY)
 BROKEN_CHUNKS = {
@@ -24,13 +25,6 @@
 }
 
 
-@pytest.fixture(scope="module")
-def server():
-    found = broken_heads.RawServer()
-    yield found
-    found.stop()
-
-
 # Guards against sizes that are read by int(), and against a body that is taken for whole though its end is missing.
 @pytest.mark.parametrize("read", response_readers.READERS.values(), ids=response_readers.READERS)
 @pytest.mark.parametrize("chunks", BROKEN_CHUNKS.values(), ids=BROKEN_CHUNKS)
--- a/tests/test_message_grammar.py
+++ b/tests/test_message_grammar.py
@@ -11,18 +11,12 @@
 import tests.broken_heads as broken_heads
 import tests.response_readers as response_readers
 
+server = response_readers.server
 Framing = broken_heads.Framing
 EXAMPLES = int(os.environ.get("MOTHSHED_EXAMPLES", "60"))
 BOUNDED = hypothesis.settings(derandomize=True, max_examples=EXAMPLES, deadline=None, database=None)
 
 
-@pytest.fixture(scope="module")
-def server():
-    found = broken_heads.RawServer()
-    yield found
-    found.stop()
-
-
 EDGE_VALUES = [b"", b"\t", b"a\tb  c", b'"(),/:;<=>?@[\\]{}', bytes(range(0x80, 0x100)), b"From x: y", b"a" * 60000]
 
 
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -15,16 +15,10 @@
 import tests.platform_site as platform_site
 import tests.response_readers as response_readers
 
+server = response_readers.server
 Framing, Place = broken_heads.Framing, broken_heads.Place
 
 
-@pytest.fixture(scope="module")
-def server():
-    found = broken_heads.RawServer()
-    yield found
-    found.stop()
-
-
 # Incident of broken answers (MIXED), for every reader of responses.
 @pytest.mark.parametrize("read", response_readers.READERS.values(), ids=response_readers.READERS)
 @pytest.mark.parametrize("framing", Framing)
