--- a/tests/response_readers.py
+++ b/tests/response_readers.py
@@ -11,7 +11,10 @@
 import tests.broken_heads as broken_heads
 
 Framing = broken_heads.Framing
-BODY = json.dumps({"error": {"message": "unchecked"}, "items": [], "replicas": [], "consignment": "h"}).encode() + b"\n"
+CONDITION = {"engine_id": "e", "role": "none", "running": 0, "waiting": 0, "slots": 1, "cache": [], "standing": 0}
+# An answer to whatever is asked: an error, an empty list, a handle, the condition of a replica.
+ANSWER = {"error": {"message": "unchecked"}, "items": [], "replicas": [], "consignment": "h", **CONDITION}
+BODY = json.dumps(ANSWER).encode() + b"\n"
 READ_TIMEOUT_S = 2.0
 
 
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -170,7 +170,9 @@
 @pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
 @pytest.mark.parametrize("place", Place)
 def test_a_malformed_answer_confirms_no_call_to_replicas_or_platform(server, place, call):
-    environment = environment_module.BlockingEnvironment()
+    server.responses = [response_readers.SOUND]
+    assert call(environment_module.BlockingEnvironment(), server.address) not in (None, False)
+    environment = environment_module.BlockingEnvironment()  # has no connection that the server is closing
     for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
         response = broken_heads.broken_response(line, place, Framing.LENGTH, response_readers.BODY)
         response_readers.check_refused(server, lambda address: call(environment, address), response)
@@ -201,7 +203,7 @@
     environment = environment_module.BlockingEnvironment()
     endpoint = types.SimpleNamespace(name="i", url=f"http://{server.address}", engine="e")
     server.responses = [broken_heads.message(broken_heads.STATUS_LINE, [], Framing.CONNECTION, body)]
-    assert send(environment, endpoint)
+    assert send(environment, endpoint)  # on a connection of its own
     for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
         server.responses = [broken_heads.broken_response(line, place, Framing.CHUNKS, body)]
         with pytest.raises(verdict.SendFailure) as failure:
