--- a/mothshed/http/response_head.py
+++ b/mothshed/http/response_head.py
@@ -44,17 +44,17 @@
 
 
 def read_head(file: message_grammar.LineFile, method: str) -> ResponseHead:
-    """Read the head of the response to a request of this method, and skip interim heads before it.
+    """Read the head of the response to a request of this method, and skip heads of status 100 before it.
 
     Raises MalformedMessageError, or http.client.RemoteDisconnected if the connection ends before the head does.
     """
     reader = message_grammar.MessageReader(file, constants.MAX_RESPONSE_HEAD_BYTES)
     while True:
         status_line, fields = reader.read_status_line(), reader.read_fields()
-        if status_line.status == http.client.SWITCHING_PROTOCOLS:
-            raise message_grammar.MalformedMessageError("switch to another protocol that was not requested")
-        if not response_rules.is_interim(status_line.status):
+        if status_line.status >= http.client.OK:
             return ResponseHead(status_line, fields, framing_of(method, status_line.status, fields))
+        if status_line.status != http.client.CONTINUE:
+            raise message_grammar.MalformedMessageError("the status is not final")
 
 
 def values_of(fields: list[message_grammar.Field], name: str) -> list[str]:
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -93,7 +93,6 @@
         b"HTTP/1.1 099 Said\r\n\r\n",
         b"HTTP/1.1 1_0_0 Continue\r\n\r\n",
         b"HTTP/1.1 100 Continue\r\n\n",
-        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
         INTERIM + b"HTTP/1.1 100 Continue\r\n Evil: 1\r\n\r\n",
     ],
 )
@@ -115,14 +114,18 @@
         INTERIM,
         INTERIM * 3,
         b"HTTP/1.1 100 \r\nX-Note: \xe9\r\n\r\n",
-        b"HTTP/1.1 102 Processing\r\n\r\n",
-        b"HTTP/1.1 103 Early Hints\r\nLink: </x>; rel=preload\r\n\r\n",
     ],
 )
 def test_a_sound_interim_head_is_skipped(server, interim, read):
     response_readers.check_read(server, read, interim + response_readers.SOUND)
 
 
+@pytest.mark.parametrize("read", response_readers.READERS.values(), ids=response_readers.READERS)
+@pytest.mark.parametrize("status", [101, 102, 103, 199])
+def test_a_status_that_is_not_final_is_no_answer(server, status, read):
+    response_readers.check_refused(server, read, b"HTTP/1.1 %d Said\r\n\r\n" % status + response_readers.SOUND)
+
+
 @pytest.mark.parametrize("read", response_readers.READERS.values(), ids=response_readers.READERS)
 def test_a_head_without_end_is_given_up(server, read):
     response_readers.check_refused(server, read, INTERIM * 100000)
