--- a/mothshed/http/reply.py
+++ b/mothshed/http/reply.py
@@ -71,8 +71,8 @@
 
     def read_piece(self) -> bytes:
         """Read a piece of the body; none only at its end. Raises ExchangeError if the body is cut off."""
-        piece: bytes = self.raw.read1(constants.SOCKET_READ_BYTES, decode_content=False)
-        if not piece and self.raw.length_remaining not in (0, None):
+        piece: bytes = self.response.read1(constants.SOCKET_READ_BYTES)
+        if not piece and self.response.length:  # what is missing of a declared length
             raise http_client.ExchangeError("body is cut off", True)
         return piece
 
