--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -190,3 +190,28 @@
     _id, answer = site.ask(host)
     assert answer.complete and answer.body == platform_site.event_bytes()
     assert prefill_replica.requests and not decode_replica.requests[0].get("Cache-From")
+
+
+# Guards against a further run under a head that the client has, if the head of that run is malformed.
+@pytest.mark.parametrize("place", Place)
+@pytest.mark.parametrize("line", [b"X Evil: 1", b"X\x01Evil: 1", b" X-Evil: 1"])
+def test_a_further_run_with_a_malformed_head_is_replaced_by_another(site, line, place):
+    broken_run = framed.Run(break_after=len(framed.events_of("word")[0]))
+    host, replicas = framed.serve_runs(site, broken_run, framed.Run(words="third"))
+    usual_runs, asked = {replica.name: replica.run for replica in replicas}, []
+
+    for replica in replicas:
+
+        def run(conn, request, fault, headers, replica=replica):
+            asked.append(replica)
+            if len(asked) != 2:
+                return usual_runs[replica.name](conn, request, fault, headers)
+            fields = [*headers, ("Postmark", "stamp.0"), ("Content-Type", "text/event-stream")]
+            rows = [(name.encode(), value.encode()) for name, value in fields]
+            conn.sendall(broken_heads.broken_response(line, place, Framing.LENGTH, framed.body_of("broken", 2), rows))
+            return False
+
+        replica.run = run
+    _id, response = framed.ask(site, host)
+    assert response.is_complete and len(asked) == 3
+    assert response.body == framed.body_of("word", last=1) + framed.body_of("third", first=2)
