--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -96,7 +96,7 @@
         INTERIM + b"HTTP/1.1 100 Continue\r\n Evil: 1\r\n\r\n",
     ],
 )
-def test_a_malformed_interim_head_is_no_answer(server, interim, read):
+def test_a_malformed_head_of_status_100_is_no_answer(server, interim, read):
     response_readers.check_refused(server, read, interim + response_readers.SOUND)
 
 
@@ -116,7 +116,7 @@
         b"HTTP/1.1 100 \r\nX-Note: \xe9\r\n\r\n",
     ],
 )
-def test_a_sound_interim_head_is_skipped(server, interim, read):
+def test_a_sound_head_of_status_100_is_followed_by_its_answer(server, interim, read):
     response_readers.check_read(server, read, interim + response_readers.SOUND)
 
 
