Tests: the stand-in of raw answers has no options that nobody uses; a body shorter than its length, to every reader

The server of raw bytes could send several answers and keep its connection, and the replicas' could frame the sound answers in another way; no test did either.

--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -116,21 +116,20 @@
 
 
 class RawServer(bare_http.Listener):
-    """Answers each request with the next of `responses`, the last one again and again, and closes the connection."""
+    """Answers each request with the bytes of `response`, and closes the connection."""
 
     def __init__(self):
-        self.responses, self.requests, self.close_after = [b""], [], True
+        self.response, self.requests = b"", []
         super().__init__()
 
     def answer(self, conn, request):
         self.requests.append(request)
-        conn.sendall(self.responses.pop(0) if len(self.responses) > 1 else self.responses[0])
-        if self.close_after:
-            conn.shutdown(socket.SHUT_WR)
-        return not self.close_after
+        conn.sendall(self.response)
+        conn.shutdown(socket.SHUT_WR)
+        return False
 
 
-def serve_response_once(site, replicas, response_of, framing=Framing.LENGTH):
+def serve_response_once(site, replicas, response_of):
     """Have the replica that is asked first answer with response_of(fields of its request), the others soundly.
 
     The fields are (name, value) pairs of bytes that a replica of the platform has to send.
@@ -147,6 +146,6 @@
                 conn.sendall(response_of([(name.encode(), str(value).encode()) for name, value in fields]))
                 return False
             after = int(request.get("Last-Event-Id", "0"))
-            return framed.send_run(conn, framed.Run(framing), [*headers, ("Postmark", stamp)], after)
+            return framed.send_run(conn, framed.Run(Framing.LENGTH), [*headers, ("Postmark", stamp)], after)
 
         replica.run = run
--- a/tests/response_readers.py
+++ b/tests/response_readers.py
@@ -78,9 +78,9 @@
 }
 
 
-def check_refused(server, read, *responses):
-    """Check that these responses are an error that proves nothing, and that its text quotes nothing of them."""
-    server.responses, server.requests[:] = list(responses), []
+def check_refused(server, read, response):
+    """Check that a response is an error that proves nothing, and that its text quotes nothing of it."""
+    server.response, server.requests[:] = response, []
     with pytest.raises(http_client.ExchangeError) as error:
         read(server.address)
     assert error.value.sent and len(server.requests) == 1
@@ -89,7 +89,7 @@
 
 def check_read(server, read, response, fields=()):
     """Check that a sound response is read whole, and its fields unchanged."""
-    server.responses = [response]
+    server.response = response
     headers, body = read(server.address)
     assert body == BODY
     if headers is not None:
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -79,6 +79,14 @@
     response_readers.check_refused(server, read, head + body)
 
 
+@pytest.mark.parametrize("read", response_readers.READERS.values(), ids=response_readers.READERS)
+@pytest.mark.parametrize("missing_bytes", [1, 2, len(response_readers.BODY)])
+def test_a_body_that_is_shorter_than_its_length_is_no_answer(server, missing_bytes, read):
+    lines = [b"Content-Length: %d" % (len(response_readers.BODY) + missing_bytes)]
+    response = broken_heads.message(broken_heads.STATUS_LINE, lines, Framing.LENGTH, response_readers.BODY)
+    response_readers.check_refused(server, read, response)
+
+
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -173,7 +181,7 @@
 @pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
 @pytest.mark.parametrize("place", Place)
 def test_a_malformed_answer_confirms_no_call_to_replicas_or_platform(server, place, call):
-    server.responses = [response_readers.SOUND]
+    server.response = response_readers.SOUND
     assert call(environment_module.BlockingEnvironment(), server.address) not in (None, False)
     environment = environment_module.BlockingEnvironment()  # has no connection that the server is closing
     for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
@@ -205,10 +213,10 @@
 def test_a_malformed_answer_to_a_send_of_our_protocol_may_have_run(server, send, body, place):
     environment = environment_module.BlockingEnvironment()
     endpoint = types.SimpleNamespace(name="i", url=f"http://{server.address}", engine="e")
-    server.responses = [broken_heads.message(broken_heads.STATUS_LINE, [], Framing.CONNECTION, body)]
+    server.response = broken_heads.message(broken_heads.STATUS_LINE, [], Framing.CONNECTION, body)
     assert send(environment, endpoint)  # on a connection of its own
     for line in broken_heads.NAMES_WITH_BLANK_OR_CONTROL:
-        server.responses = [broken_heads.broken_response(line, place, Framing.CHUNKS, body)]
+        server.response = broken_heads.broken_response(line, place, Framing.CHUNKS, body)
         with pytest.raises(verdict.SendFailure) as failure:
             send(environment, endpoint)
         assert failure.value.verdict is verdict.Verdict.MAY_HAVE_RUN and "vil" not in str(failure.value)
