--- a/review/5/case.py
+++ b/review/5/case.py
@@ -53,4 +53,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(harness.run(main))
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -62,6 +63,15 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def run(main):
+    """Return the exit code of a case: that of main(), or 2 if it fails, as it then has shown nothing."""
+    try:
+        return main()
+    except Exception:
+        traceback.print_exc()
+        return 2
+
+
 class Record:
     """What was sent, answered and run, with the time since the start."""
 
