--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -405,7 +405,8 @@
                 process.wait()
         for name in self.processes:
             for line in (self.folder / f"{name}.log").read_bytes().splitlines()[-30:]:
-                self.record.add(f"log of {name}: {line.decode('latin-1')[:300]}")
+                text = line.decode("latin-1").replace(str(ROOT), "").replace(str(self.folder), "")
+                self.record.add(f"log of {name}: {text[:300]}")
         for listener in (*self.replicas, self.provider):
             listener.stop()
         self.record.write(case_folder)
