One failed send or callback ends nothing else

Cause, of the two this one: `Codec.pack` raised out of the loop over the members, so that no member got a heartbeat, and `tick` set its next turn after its work, so that the first failure was also the last turn. The same pattern stood in the loops for leases, activation, orders, the list, gossip, loads, releases and counters, and a callback of a proposal or a read that failed kept those after it from being called.

Change: a record that can't be packed is dropped and reported (`record_not_sent`, `links_not_packed`), whatever makes it so (length, nesting, half a character, a number, no JSON); loops set their next turn in any case; callbacks are run one by one; a list that can't be read ends no later reading; a socket that can't be opened is a LinkError. A value nested too deeply for a receiver is a RecordError there, as every other malformed body.

--- a/mothshed/configuration/lease.py
+++ b/mothshed/configuration/lease.py
@@ -57,12 +57,14 @@
         environment.post(self.tick)
 
     def tick(self):
-        self.request_lease()
-        change_pending = self.staged > self.active
-        self.next_tick = self.environment.call_later(
-            constants.SHORT_LEASE_RENEWAL_INTERVAL_S if change_pending else constants.LEASE_RENEWAL_INTERVAL_S,
-            self.tick,
-        )
+        try:
+            self.request_lease()
+        finally:
+            change_pending = self.staged > self.active
+            self.next_tick = self.environment.call_later(
+                constants.SHORT_LEASE_RENEWAL_INTERVAL_S if change_pending else constants.LEASE_RENEWAL_INTERVAL_S,
+                self.tick,
+            )
 
     def renew_soon(self) -> None:
         """Request a lease now, or one short interval after the last request, since a short lease expires early."""
--- a/mothshed/control_plane/config_leader_task.py
+++ b/mothshed/control_plane/config_leader_task.py
@@ -67,8 +67,10 @@
 
     def tick(self):
         if self.leading:
-            self.try_activate()
-            self.environment.call_later(constants.SHORT_LEASE_S / 4, self.tick)
+            try:
+                self.try_activate()
+            finally:
+                self.environment.call_later(constants.SHORT_LEASE_S / 4, self.tick)
 
     def handle_change(self, kind, sequence):
         if not self.leading:
--- a/mothshed/control_plane/election.py
+++ b/mothshed/control_plane/election.py
@@ -13,6 +13,7 @@
 """
 
 import mothshed.constants as constants
+import mothshed.control_plane.callbacks as callbacks
 import mothshed.runtime.log_buffer as log_buffer
 
 
@@ -33,8 +34,10 @@
     def tick(self):
         if self.chart.state == "stopped":
             return
-        self.handle_disk_faults(self.run_periodic_tasks)()
-        self.environment.call_later(constants.HEARTBEAT_INTERVAL_S, self.tick)
+        try:
+            self.handle_disk_faults(self.run_periodic_tasks)()
+        finally:
+            self.environment.call_later(constants.HEARTBEAT_INTERVAL_S, self.tick)
 
     def run_periodic_tasks(self):
         now = self.environment.now()
@@ -152,7 +155,7 @@
             elapsed_s = round(self.environment.now() - self.elected_at, 3)
             log_buffer.report("part_led", part=self.part, who=self.member_id, term=self.log.term, after_s=elapsed_s)
             for task in self.leader_tasks:
-                task.start()
+                callbacks.run_callback(task.start)
             self.change_members()
 
     def adopt_term(self, term):
--- a/mothshed/control_plane/list_leader_task.py
+++ b/mothshed/control_plane/list_leader_task.py
@@ -10,6 +10,7 @@
 import mothshed.constants as constants
 import mothshed.control_plane.leader_hint as leader_hint
 import mothshed.http.http_client as http_client
+import mothshed.runtime.log_buffer as log_buffer
 
 
 class ListLeaderTask:
@@ -43,6 +44,8 @@
                 self.environment.post(lambda rows=rows, at=started_at: self.store_list(rows, at))
             except http_client.ExchangeError as e:
                 self.listed.journal.add("list", outcome="failed", reason=str(e))
+            except Exception as error:  # one unreadable page must not end the readings of this term
+                log_buffer.failure("list_not_read", error)
             self.environment.sleep(constants.LIST_POLL_INTERVAL_S)
 
     def store_list(self, rows, at):
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -9,6 +9,7 @@
 import typing
 
 import mothshed.constants as constants
+import mothshed.control_plane.callbacks as callbacks
 import mothshed.control_plane.election as election
 import mothshed.control_plane.following as following
 import mothshed.control_plane.membership as membership
@@ -183,7 +184,7 @@
             term, callback = self.pending_proposals.pop(index, (None, None))
             result = self.machine.apply(index, body["c"])
             if callback:
-                callback(result if term == body["t"] else None)
+                callbacks.run_callback(callback, result if term == body["t"] else None)
         if self.snapshot_due():
             self.take_snapshot()
 
@@ -223,10 +224,10 @@
         """Ends what depends on leadership: pending writes get an unknown outcome, pending reads fail."""
         pending, self.pending_proposals = self.pending_proposals, {}
         for _term, callback in pending.values():
-            callback(None)
+            callbacks.run_callback(callback, None)
         self.fail_pending_reads()
         for task in self.leader_tasks:
-            task.stop()
+            callbacks.run_callback(task.stop)
 
     def stop(self):
         if self.chart.state == "stopped":
--- a/mothshed/control_plane/orders.py
+++ b/mothshed/control_plane/orders.py
@@ -77,10 +77,12 @@
     def tick(self):
         if not self.active:
             return
-        document = self.lease.document()
-        if self.may_send(self.fencing_token) and document and self.lease.sequence():
-            self.plan_roles(document)
-        self.environment.call_later(constants.ORDER_INTERVAL_S, self.tick)
+        try:
+            document = self.lease.document()
+            if self.may_send(self.fencing_token) and document and self.lease.sequence():
+                self.plan_roles(document)
+        finally:
+            self.environment.call_later(constants.ORDER_INTERVAL_S, self.tick)
 
     def pool_replicas(self, selector):
         """Return the pool's replicas of this part, those of other parts, and this part's rank by replica count."""
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -9,6 +9,7 @@
 """
 
 import mothshed.constants as constants
+import mothshed.control_plane.callbacks as callbacks
 import mothshed.control_plane.progress as progress_module
 import mothshed.control_plane.snapshot_transfer as snapshot_transfer
 
@@ -169,7 +170,7 @@
         due = [read for read in self.pending_reads if read[0] <= confirmed]
         self.pending_reads = [read for read in self.pending_reads if read[0] > confirmed]
         for _round_number, callback in due:
-            callback(True)
+            callbacks.run_callback(callback, True)
 
     def confirm_leadership(self, callback):
         """Calls callback(True) once a majority has echoed a round sent from now on, or callback(False) on failure."""
@@ -182,7 +183,7 @@
     def fail_pending_reads(self):
         due, self.pending_reads = self.pending_reads, []
         for _round_number, callback in due:
-            callback(False)
+            callbacks.run_callback(callback, False)
 
     def has_quorum(self):
         return self.is_leader and self.ready and self.environment.now() < self.quorum_until
--- a/mothshed/data_plane/backup_releases.py
+++ b/mothshed/data_plane/backup_releases.py
@@ -70,11 +70,13 @@
 
     def release_overdue(self):
         """Release the handles whose registration is past its time; repeated at an interval."""
-        now = self.environment.now()
-        for key in [k for k, entry in self.entries.items() if entry[0] <= now]:
-            due, url, engine = self.entries.pop(key)
-            self.journal.add("guard", outcome="freed", replica=key[2])
-            self.handle_releases.enqueue(
-                replica_adapter.Handle(key[1], key[2], url, engine, {"remote_block_ids": []}, now)
-            )
-        self.environment.call_later(constants.BACKUP_RELEASE_INTERVAL_S, self.release_overdue)
+        try:
+            now = self.environment.now()
+            for key in [k for k, entry in self.entries.items() if entry[0] <= now]:
+                due, url, engine = self.entries.pop(key)
+                self.journal.add("guard", outcome="freed", replica=key[2])
+                self.handle_releases.enqueue(
+                    replica_adapter.Handle(key[1], key[2], url, engine, {"remote_block_ids": []}, now)
+                )
+        finally:
+            self.environment.call_later(constants.BACKUP_RELEASE_INTERVAL_S, self.release_overdue)
--- a/mothshed/data_plane/load_reporter.py
+++ b/mothshed/data_plane/load_reporter.py
@@ -47,7 +47,18 @@
         return found
 
     def tick(self):
-        now, rows = self.environment.now(), self.loads_by_part()
+        now = self.environment.now()
+        try:
+            self.report_loads(now)
+        finally:
+            busy = now - self.last_active_at < constants.IDLE_LOAD_REPORT_INTERVAL_S
+            self.environment.call_later(
+                constants.LOAD_REPORT_INTERVAL_S if busy else constants.IDLE_LOAD_REPORT_INTERVAL_S, self.tick
+            )
+
+    def report_loads(self, now: float) -> None:
+        """Send the load of each part's replicas to the leader of the part."""
+        rows = self.loads_by_part()
         if any(load.requests for loads in rows.values() for load in loads.values()):
             self.last_active_at = now
         for part, loads in rows.items():
@@ -55,10 +66,6 @@
             self.environment.send(
                 self.leaders.address_for(part), "usage", part=part, mark=self.mark, rows=replica_load.to_wire(loads)
             )
-        busy = now - self.last_active_at < constants.IDLE_LOAD_REPORT_INTERVAL_S
-        self.environment.call_later(
-            constants.LOAD_REPORT_INTERVAL_S if busy else constants.IDLE_LOAD_REPORT_INTERVAL_S, self.tick
-        )
 
     def on_usages(self, sender, body):
         self.leaders.note_response(body["part"], sender)
--- a/mothshed/replicas/listed_replicas.py
+++ b/mothshed/replicas/listed_replicas.py
@@ -32,14 +32,16 @@
         self.environment.post(self.tick)
 
     def tick(self):
-        destination = self.leaders.address_for(constants.LIST_READER_PART)
-        self.environment.send(destination, "list_ask", part=constants.LIST_READER_PART, number=self.number)
-        if self.environment.now() - self.fresh_at > self.max_list_age and not self.reading:
-            self.reading = True
-            self.environment.spawn(self.read_list)
-        self.environment.call_later(
-            self.next_request_delay() * (0.9 + 0.2 * self.environment.random.random()), self.tick
-        )
+        try:
+            destination = self.leaders.address_for(constants.LIST_READER_PART)
+            self.environment.send(destination, "list_ask", part=constants.LIST_READER_PART, number=self.number)
+            if self.environment.now() - self.fresh_at > self.max_list_age and not self.reading:
+                self.reading = True
+                self.environment.spawn(self.read_list)
+        finally:
+            self.environment.call_later(
+                self.next_request_delay() * (0.9 + 0.2 * self.environment.random.random()), self.tick
+            )
 
     def next_request_delay(self) -> float:
         """Return the seconds until the next request for the list; short without a list, as nothing can be served."""
--- a/mothshed/runtime/counters.py
+++ b/mothshed/runtime/counters.py
@@ -28,8 +28,10 @@
 
     def report_changes(self) -> None:
         """Report the increments, if any, and schedule the next report."""
-        self.report_now()
-        self.timers.call_later(constants.COUNTERS_INTERVAL_S, self.report_changes)
+        try:
+            self.report_now()
+        finally:
+            self.timers.call_later(constants.COUNTERS_INTERVAL_S, self.report_changes)
 
     def report_now(self) -> None:
         """Report the increments since the last line, if any, as before the end of a process."""
--- a/mothshed/transport/gossip.py
+++ b/mothshed/transport/gossip.py
@@ -37,13 +37,15 @@
 
     def run_round(self):
         """Shuffles once, contacts silent known addresses, and schedules the next round with jitter."""
-        self.shuffle()
-        if self.known_addresses:
-            for destination in self.known_addresses.addresses_to_contact(set(self.view)):
-                self.send_view(destination)
-        self.environment.call_later(
-            transport_constants.SHUFFLE_INTERVAL_S * (0.8 + 0.4 * self.environment.random.random()), self.run_round
-        )
+        try:
+            self.shuffle()
+            if self.known_addresses:
+                for destination in self.known_addresses.addresses_to_contact(set(self.view)):
+                    self.send_view(destination)
+        finally:
+            self.environment.call_later(
+                transport_constants.SHUFFLE_INTERVAL_S * (0.8 + 0.4 * self.environment.random.random()), self.run_round
+            )
 
     def shuffle(self):
         """Ages the view and sends a sample of it to the oldest neighbour, or to seeds."""
--- a/mothshed/transport/link.py
+++ b/mothshed/transport/link.py
@@ -90,7 +90,10 @@
     @classmethod
     def connect(cls, address: str, now: float) -> "Link":
         """Start to connect to a peer; raises LinkError if that fails at once."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # as without free descriptors
+            raise LinkError(str(error)) from error
         link = cls(sock, address, State.CONNECTING, now)
         set_socket_options(sock)
         try:
--- a/mothshed/transport/link_table.py
+++ b/mothshed/transport/link_table.py
@@ -16,7 +16,7 @@
 import mothshed.transport.records as records
 
 COUNTER_NAMES = (
-    "opened accepted closed lost connect_failed queue_full dropped record_fault unknown_kind further_fields"
+    "opened accepted closed lost connect_failed queue_full dropped not_packed record_fault unknown_kind further_fields"
 ).split()
 
 
--- a/mothshed/transport/peers.py
+++ b/mothshed/transport/peers.py
@@ -11,6 +11,7 @@
 
 import mothshed.runtime.clock as clock
 import mothshed.runtime.log_buffer as log_buffer
+import mothshed.transport.constants as transport_constants
 import mothshed.transport.link_loop as link_loop
 import mothshed.transport.records as records
 
@@ -30,6 +31,9 @@
     ) -> None:
         self.address = address
         self.receivers: dict[tuple[str, int | None], Receiver] = {}
+        self.report_limiter = log_buffer.RateLimiter(
+            transport_constants.MAX_RECORD_REPORT_BURST_LINES, transport_constants.RECORD_REPORT_LINES_PER_S
+        )
         self.loop = link_loop.LinkLoop(listen or address, address, self.dispatch, now)
 
     def subscribe(self, kind: str, part: int | None, receiver: Receiver) -> None:
@@ -37,25 +41,37 @@
         self.receivers[(kind, part)] = receiver
 
     def send(self, destination: str, kind: str, **body: typing.Any) -> None:
-        """Send a record to a peer; it is dropped if the peer cannot be reached. Never blocks."""
-        if not destination:
-            return
-        if destination == self.address:
-            self.dispatch(destination, kind, body)
-        else:
-            self.loop.table.send(destination, records.CODEC.pack(kind, body, self.loop.table.release_of(destination)))
+        """Send a record to a peer; it is dropped if the peer cannot be reached. Neither blocks nor raises."""
+        if destination:
+            self.send_to_each([destination], kind, **body)
 
     def send_to_each(self, destinations: collections.abc.Iterable[str], kind: str, **body: typing.Any) -> None:
         """Send the same record to several peers; it is packed once per release."""
-        packed: dict[int | None, bytes] = {}
+        packed: dict[int | None, bytes | None] = {}
         for destination in destinations:
             if destination == self.address:
                 self.dispatch(destination, kind, body)
                 continue
             release = self.loop.table.release_of(destination)
             if release not in packed:
-                packed[release] = records.CODEC.pack(kind, body, release)
-            self.loop.table.send(destination, packed[release])
+                packed[release] = self.pack(destination, kind, body, release)
+            data = packed[release]
+            if data is not None:
+                self.loop.table.send(destination, data)
+
+    def pack(self, destination: str, kind: str, body: Body, release: int | None) -> bytes | None:
+        """Pack a record for a peer of this release; None, with a report, if it can't be packed.
+
+        The sender goes on with its other peers and its next records: one bad record must not end a loop of theirs.
+        """
+        try:
+            return records.CODEC.pack(kind, body, release)
+        except records.RecordError as error:
+            self.loop.table.counts["not_packed"] += 1
+            log_buffer.report_limited(
+                self.report_limiter, "record_not_sent", record=kind, who=destination, reason=str(error)
+            )
+            return None
 
     def dispatch(self, sender: str, kind: str, body: Body) -> None:
         """Call the receiver of a record's kind and part; an exception in it is logged."""
--- a/mothshed/transport/records.py
+++ b/mothshed/transport/records.py
@@ -73,13 +73,16 @@
             )
 
     def pack(self, name: str, body: Body, release: int | None = None) -> bytes:
-        """Pack a record; raises RecordError if it is too long.
+        """Pack a record; raises RecordError if it is too long or holds a value that can't be encoded.
 
         release: the receiver's release; fields added later are left out. None: the receiver skips unknown fields.
         """
         kind = self.by_name[name]
         max_release = self.release if release is None else release
-        data = b"".join(pack_field(field, body) for field in kind.fields if field.since <= max_release)
+        try:
+            data = b"".join(pack_field(field, body) for field in kind.fields if field.since <= max_release)
+        except (ValueError, TypeError, RecursionError, struct.error) as error:
+            raise RecordError(f"record {name} can't be encoded: {type(error).__name__}") from error
         if len(data) > transport_constants.MAX_RECORD_BYTES:
             raise RecordError(f"record {name} exceeds the size limit: {len(data)} bytes")
         return HEADER.pack(MAGIC, kind.number, len(data), zlib.crc32(data)) + data
@@ -101,7 +104,7 @@
             return Record("", {})
         try:
             body, end = parse_fields(header.kind, data)
-        except (struct.error, UnicodeDecodeError, ValueError) as error:
+        except (struct.error, ValueError, RecursionError) as error:
             raise RecordError(f"invalid body of record {header.kind.name}: {error}") from error
         return Record(header.kind.name, body, has_unknown_fields=end < len(data))
 
