Large configurations are stored by digest and carried in pieces

Larger ones that could be sent at all cost their part its leader, and a small change after them was not taken.

An entry could thus exceed what a record may hold (8 MiB), and encoding, parsing and syncing megabytes held the mailbox that sends the heartbeats.

Change: a document above 256 KB of JSON is packed (compressed, by the thread of its operator) and stored as a file that its digest names. Routers fetch, and a thread of theirs unpacks. Smaller documents travel as before. While a member of an earlier release is connected, documents stay whole; a router of one is sent them whole.

With it: one large order at a time per keeper; a repeated one is recognised before it is validated, and redirected before it is parsed; its outcome is waited for longer. A change by names has its time counted from when its document is built, and its limit is that of a document sent whole (4 MiB of UTF-8, not of escapes). Values nested deeper than 800 levels and half characters get 400 before anything is logged; `log.put` of what can't be encoded writes nothing.

--- a/mothshed/configuration/lease.py
+++ b/mothshed/configuration/lease.py
@@ -2,10 +2,11 @@
 
 A process serves only while it holds a lease. The lease counts from the time of
 the request, so any delay or pause after that only shortens it. While a newer document
-is staged here, no lease lasts longer than SHORT_LEASE_S. A document arrives whole, or
-as the difference to a document held here (`changes`). If that base is missing, the next
-request declines differences and the whole document is sent. `sequence` is
-the check made right before every send: it returns the sequence to serve, or None.
+is staged here, no lease lasts longer than SHORT_LEASE_S. A document arrives whole, as
+the difference to a document held here (`changes`), or in pieces if it is large
+(`large_documents`). If the base of a difference is missing, the next request declines
+differences and the whole document is sent. `sequence` is the check made right before
+every send: it returns the sequence to serve, or None.
 All of this runs in one mailbox; other threads read one published tuple.
 """
 
@@ -13,6 +14,7 @@
 import typing
 
 import mothshed.configuration.document_difference as document_difference
+import mothshed.configuration.large_documents as large_documents
 import mothshed.constants as constants
 import mothshed.runtime.log_buffer as log_buffer
 
@@ -52,6 +54,7 @@
         self.report_limiter = log_buffer.RateLimiter(
             constants.MAX_VERSION_REPORT_BURST_LINES, constants.VERSION_REPORT_LINES_PER_S
         )
+        self.large_documents = large_documents.LargeDocuments(environment, self.take_document)
         for kind in ("grant", "news", "look_elsewhere"):
             environment.subscribe(kind, getattr(self, "on_" + kind), 0)
         environment.post(self.tick)
@@ -94,6 +97,7 @@
                 held=self.active,
                 staged=self.staged,
                 takes_changes=self.takes_changes,
+                takes_pieces=True,
             )
 
     def next_keepers(self):
@@ -119,6 +123,7 @@
         self.last_contact = self.environment.now()
         self.leader = sender
         self.stage(self.documents_in_record(body), sender, body["number"])
+        self.fetch_documents(body, sender)
         if body["active"] < self.active:
             return
         length = body["length"]
@@ -138,9 +143,20 @@
         self.last_contact = self.environment.now()
         self.leader = sender
         self.stage(self.documents_in_record(body), sender, body["number"])
+        self.fetch_documents(body, sender)
         self.activate(body["active"])
         self.publish()
 
+    def fetch_documents(self, body: dict[str, typing.Any], sender: str) -> None:
+        """Fetch the large documents that a record names, unless they are here."""
+        self.large_documents.fetch([row for row in body.get("large", ()) if row[0] not in self.docs], sender)
+
+    def take_document(self, sequence: int, document: document_difference.Document, sender: str) -> None:
+        """Stage a document that was fetched in pieces."""
+        if sequence > self.active:
+            self.stage([(sequence, document)], sender, self.news_number)
+            self.publish()
+
     def documents_in_record(self, body: dict[str, typing.Any]) -> list[tuple[int, document_difference.Document]]:
         """The documents of a record, by sequence: the whole ones, and those rebuilt from its differences."""
         documents = {sequence: document for sequence, document in body["docs"]}
--- a/mothshed/control_plane/config_leader_task.py
+++ b/mothshed/control_plane/config_leader_task.py
@@ -26,7 +26,7 @@
         self.bounds = bounds or lease_bounds.LeaseBounds()
         self.member, self.machine, self.environment = member, member.machine, member.environment
         self.leading = False
-        self.delivery = document_delivery.DocumentDelivery(lambda: self.machine.docs)
+        self.delivery = document_delivery.DocumentDelivery(self.machine)
         self.leaseholders = {}  # address -> leaseholder.Leaseholder
         self.staged_at = {}  # sequence not active yet -> a time at or before its commit; -inf if unknown
         self.acknowledged_by = {}  # news number -> addresses that acknowledged it
@@ -45,7 +45,7 @@
     def start(self):
         self.leading, self.activation_proposed = True, False
         self.leaseholders, self.acknowledged_by = {}, {}
-        self.delivery = document_delivery.DocumentDelivery(lambda: self.machine.docs)
+        self.delivery = document_delivery.DocumentDelivery(self.machine)
         inherited = {s: index for s, index in self.machine.staged_log_index.items() if s > self.machine.active}
         self.staged_at = {s: self.earliest_commit_time(index) for s, index in inherited.items()}
         self.news_number = self.member.log.term * 1000000
@@ -128,6 +128,7 @@
                 active=self.machine.active,
                 docs=delivery.docs,
                 changes=delivery.changes,
+                large=delivery.large,
             )
 
     def on_ask(self, sender, body):
@@ -168,6 +169,7 @@
             docs=delivery.docs,
             leader=self.member.member_id,
             changes=delivery.changes,
+            large=delivery.large,
         )
 
     def on_news_ack(self, sender, body):
--- a/mothshed/control_plane/config_machine.py
+++ b/mothshed/control_plane/config_machine.py
@@ -1,11 +1,14 @@
 """Replicated state machine of the configuration: documents by sequence, the active one, and the accepted orders."""
 
 import collections.abc
-import json
 import typing
 
+import mothshed.configuration.constants as configuration_constants
+import mothshed.configuration.packed_document as packed_document
 import mothshed.constants as constants
 import mothshed.control_plane.accepted_orders as accepted_orders
+import mothshed.control_plane.document_rows as document_rows
+import mothshed.storage.document_store as document_store
 
 Command = dict[str, typing.Any]  # command of a log entry, distinguished by its `op`
 Result = dict[str, typing.Any]  # outcome of a command
@@ -14,11 +17,12 @@
 class ConfigMachine:
     """The replicated state: the retained documents and the record of accepted orders."""
 
-    commands = frozenset({"stage", "activate"})  # commands that this release can apply
+    commands = frozenset({*document_rows.STAGE_COMMANDS, "activate"})  # commands that this release can apply
 
-    def __init__(self) -> None:
-        self.docs: dict[int, dict[str, typing.Any]] = {}  # sequence -> {"doc", "by", "id"}
-        self.sizes: dict[int, int] = {}  # sequence -> size in bytes of that row as JSON
+    def __init__(self, store: document_store.DocumentStore | None = None) -> None:
+        self.store = store  # of the large documents
+        self.docs: dict[int, document_rows.Row] = {}  # by sequence
+        self.sizes: dict[int, int] = {}  # sequence -> size in bytes of that row's document as JSON
         self.accepted = accepted_orders.AcceptedOrders()
         self.latest = self.active = 0
         # sequence not active yet -> index of its log entry, or None if it was restored from a snapshot
@@ -27,7 +31,7 @@
 
     def apply(self, index: int, command: Command) -> Result:
         """Apply a committed command; every member applies every command."""
-        if command["op"] == "stage":
+        if command["op"] in document_rows.STAGE_COMMANDS:
             return self.stage(index, command)
         if command["op"] == "activate" and self.active < command["sequence"] in self.docs:
             self.active = command["sequence"]
@@ -49,9 +53,18 @@
             return {"low": self.latest}
         return None
 
-    def newest_document(self) -> dict[str, typing.Any] | None:
+    def stored_document(self, sequence: int) -> document_rows.StoredDocument | None:
+        """A retained document, for use outside of the mailbox too; None if there is none of this sequence."""
+        row = self.docs.get(sequence)
+        return None if row is None else document_rows.stored_document(row, self.store)
+
+    def newest_document(self) -> document_rows.StoredDocument | None:
         """The newest accepted document, which is always retained, or None before the first."""
-        return self.docs[self.latest]["doc"] if self.latest else None
+        return self.stored_document(self.latest)
+
+    def references(self, state: dict[str, typing.Any]) -> list[packed_document.Reference]:
+        """The large documents that the state in a snapshot refers to."""
+        return [reference for _s, row in state["docs"] if (reference := document_rows.reference_of(row))]
 
     def stage(self, index: int, command: Command) -> Result:
         """Accept a document that is based on the newest one, or return why it is rejected."""
@@ -59,7 +72,7 @@
         if result:
             return result
         self.latest = command.get("sequence", self.latest + 1)
-        self.docs[self.latest] = {"doc": command["doc"], "by": command["by"], "id": command["id"]}
+        self.docs[self.latest] = document_rows.row_of(command)
         self.accepted.add(command["id"], self.latest)
         self.staged_log_index[self.latest] = index
         self.drop_old_documents()
@@ -68,9 +81,8 @@
 
     def drop_old_documents(self) -> None:
         """Keep the active document, the newest staged ones, and a history bounded in count and bytes."""
-        staged = sorted(s for s in self.docs if s > self.active)
         older = sorted((s for s in self.docs if s < self.active), reverse=True)
-        dropped, total = staged[: -constants.MAX_STAGED_DOCUMENTS], 0
+        dropped, total = self.surplus_staged_documents(), 0
         for position, sequence in enumerate(older):
             total += self.document_size(sequence)
             if position >= constants.MAX_HISTORY_DOCUMENTS or total > constants.MAX_HISTORY_BYTES:
@@ -80,10 +92,21 @@
             del self.docs[sequence]
             self.sizes.pop(sequence, None)
 
+    def surplus_staged_documents(self) -> list[int]:
+        """The staged documents beyond the bounds on their number and, for large ones, their size; never the newest."""
+        staged = sorted((s for s in self.docs if s > self.active), reverse=True)
+        kept, total = staged[:1], 0
+        for sequence in staged[1 : constants.MAX_STAGED_DOCUMENTS]:
+            if document_rows.reference_of(self.docs[sequence]):
+                total += self.document_size(sequence)
+            if total <= configuration_constants.MAX_STAGED_DOCUMENT_BYTES:
+                kept.append(sequence)
+        return [sequence for sequence in staged if sequence not in kept]
+
     def document_size(self, sequence: int) -> int:
-        """Size in bytes of a document's row as JSON."""
+        """Size in bytes of a row's document as JSON."""
         if sequence not in self.sizes:
-            self.sizes[sequence] = len(json.dumps(self.docs[sequence]))
+            self.sizes[sequence] = document_rows.text_bytes(self.docs[sequence])
         return self.sizes[sequence]
 
     def dump(self) -> dict[str, typing.Any]:
--- a/mothshed/control_plane/confirmed_calls.py
+++ b/mothshed/control_plane/confirmed_calls.py
@@ -10,7 +10,11 @@
 import threading
 import typing
 
+import mothshed.configuration.constants as configuration_constants
 import mothshed.constants as constants
+import mothshed.control_plane.document_rows as document_rows
+
+Command = dict[str, typing.Any]
 
 
 class NotConfirmed(Exception):
@@ -21,6 +25,13 @@
     """The write was proposed and may still be committed."""
 
 
+def timeout_of(command: Command) -> float:
+    """How long the outcome of a command is waited for, in seconds: longer with a large document."""
+    reference = document_rows.reference_of(command)
+    document_s = reference.length / configuration_constants.LARGE_WRITE_BYTES_PER_S if reference else 0.0
+    return constants.OPERATOR_CALL_TIMEOUT_S + document_s
+
+
 class PendingCall:
     """One call, shared by the thread that waits for its result and the mailbox that runs it."""
 
@@ -77,16 +88,18 @@
         except OutcomeUnknown as error:
             raise NotConfirmed() from error
 
-    def write(self, command: dict[str, typing.Any]) -> typing.Any:
+    def write(self, command: Command) -> typing.Any:
         """Run a command and return its result; raises NotConfirmed or OutcomeUnknown."""
-        return self.run(lambda call: self.begin_write(command, call))
+        return self.run(lambda call: self.begin_write(command, call), timeout_of(command))
 
     def change(
-        self, command: dict[str, typing.Any], build_document: collections.abc.Callable[[typing.Any], typing.Any]
+        self,
+        command: Command,
+        build_fields: collections.abc.Callable[[document_rows.StoredDocument | None], Command],
     ) -> typing.Any:
-        """Run a command whose document build_document() derives from the newest one, and return its result.
+        """Run a command whose document build_fields() derives from the newest one, and return its result.
 
-        Raises NotConfirmed, OutcomeUnknown, and whatever build_document() raises, in which case nothing was
+        Raises NotConfirmed, OutcomeUnknown, and whatever build_fields() raises, in which case nothing was
         written. Either the newest document is the command's base, or the command is known to change nothing. If
         another document is accepted in the meantime, the base is no longer the newest and the write is a conflict.
         """
@@ -95,12 +108,18 @@
         known_result, newest = self.read(lambda: (machine.known_result(command), machine.newest_document()))
         if known_result:
             return known_result
-        complete_command = {**command, "doc": build_document(newest)}
-        return self.run(
-            lambda call: self.begin_write(complete_command, call), max(0.0, deadline - self.member.environment.now())
-        )
-
-    def begin_write(self, command: dict[str, typing.Any], call: PendingCall) -> None:
+        in_progress = command["id"] in self.proposed
+        complete_command = command if in_progress else {**command, **build_fields(newest)}
+        remaining_s = max(0.0, deadline - self.member.environment.now())
+        if complete_command["op"] == "stage_packed":
+            remaining_s = timeout_of(complete_command)  # to build it took longer than a caller waits for a small one
+        return self.run(lambda call: self.begin_write(complete_command, call), remaining_s)
+
+    def is_known(self, order_id: str) -> bool:
+        """Whether an order with this id was accepted or is in progress, so that its document isn't needed again."""
+        return order_id in self.proposed or self.member.machine.accepted.sequence_of(order_id) is not None
+
+    def begin_write(self, command: Command, call: PendingCall) -> None:
         """Propose the command, or have its known result confirmed; runs in the mailbox."""
         machine = self.member.machine
         known_result = machine.known_result(command) if command["base"] <= machine.latest else None
@@ -108,6 +127,8 @@
             self.member.confirm_leadership(lambda confirmed: call.finish(known_result if confirmed else NotConfirmed()))
         elif command["id"] in self.proposed:  # repeated while the first is in progress: one entry is enough
             self.proposed[command["id"]].append(call)
+        elif not document_rows.has_document(command):  # the one in progress has failed meanwhile
+            call.finish(NotConfirmed())
         else:
             self.proposed[command["id"]] = [call]
             self.member.propose(command, lambda result: self.finish_write(command["id"], result))
--- a/mothshed/control_plane/following.py
+++ b/mothshed/control_plane/following.py
@@ -1,7 +1,8 @@
 """The follower's side of log replication: entries and snapshots from the leader.
 
-Entries are acknowledged only after they are synced. Entries that conflict with the leader's are overwritten;
-committed entries never conflict. A snapshot is installed in one step after all its chunks have arrived.
+Entries are acknowledged only after they are synced, and after the documents that they refer to (stored_documents.py).
+Entries that conflict with the leader's are overwritten; committed entries never conflict. A snapshot is installed in
+one step after all its chunks, and the documents that it refers to, have arrived.
 """
 
 import typing
@@ -16,6 +17,8 @@
     def init_following(self) -> None:
         """Initializes snapshot assembly and the bounds on commit times."""
         self.snapshot_assembler = snapshot_transfer.SnapshotAssembler()
+        self.complete_identity: tuple[int, int, int] | None = None  # of a snapshot that waits for its documents
+        self.waiting_snapshot: dict[str, typing.Any] | None = None
         self.commit_time_bounds = commit_time_bounds.CommitTimeBounds()
 
     def on_append(self, sender: str, body: dict[str, typing.Any]) -> None:
@@ -60,6 +63,7 @@
             return False, self.log.last
         elif self.log.term_at(previous) != previous_term:
             return False, self.commit_index
+        entries = self.storable_entries(entries)
         changed = [entry for entry in entries if self.log.term_at(entry["i"]) != entry["t"]]
         if changed:
             self.log.put([entry for entry in entries if entry["i"] >= changed[0]["i"]])
@@ -72,8 +76,10 @@
             return
         self.follow(body, sender)
         if body["index"] > self.commit_index:
-            snapshot = self.snapshot_assembler.add_chunk(body)
+            snapshot = self.complete_snapshot(body)
             if snapshot is not None:
+                if not self.has_documents_of(snapshot):
+                    return  # without a response, so that the leader sends the last chunk again after a while
                 self.install_snapshot(snapshot)
         done = body["index"] <= self.commit_index
         self.send(
@@ -85,9 +91,21 @@
             done=done,
         )
 
+    def complete_snapshot(self, body: dict[str, typing.Any]) -> dict[str, typing.Any] | None:
+        """Adds a chunk; returns the snapshot if it is complete, also when one of its chunks is sent again."""
+        identity = (body["index"], body["index_term"], body["checksum"])
+        if identity != self.complete_identity:
+            snapshot = self.snapshot_assembler.add_chunk(body)
+            if snapshot is None:
+                return None
+            self.complete_identity, self.waiting_snapshot = identity, snapshot
+        return self.waiting_snapshot
+
     def install_snapshot(self, snapshot: dict[str, typing.Any]) -> None:
         """Replaces the log up to the snapshot's index, and the state of the machine, by the snapshot."""
+        self.complete_identity = self.waiting_snapshot = None
         self.log.put_snapshot(snapshot, snapshot["index"])
         self.machine.restore(snapshot["state"])
         self.commit_index = self.last_applied = snapshot["index"]
         self.refresh_membership()
+        self.forget_documents()
--- a/mothshed/control_plane/keeper.py
+++ b/mothshed/control_plane/keeper.py
@@ -4,9 +4,12 @@
 import typing
 
 import mothshed.configuration.lease as lease_module
+import mothshed.configuration.packed_document as packed_document
 import mothshed.constants as constants
 import mothshed.control_plane.config_leader_task as config_leader_task
 import mothshed.control_plane.config_machine as config_machine
+import mothshed.control_plane.document_server as document_server
+import mothshed.control_plane.earlier_documents as earlier_documents
 import mothshed.control_plane.first_start as first_start
 import mothshed.control_plane.lease_bounds as lease_bounds
 import mothshed.control_plane.limit_bounds as limit_bounds
@@ -25,6 +28,7 @@
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.runtime.stop_schedule as stop_schedule
 import mothshed.storage.disk as disk_module
+import mothshed.storage.document_store as document_store
 import mothshed.transport.gossip as gossip
 import mothshed.transport.known_addresses as known_addresses
 
@@ -75,6 +79,7 @@
         )
         self.lease = lease_module.Lease(environment, self.lease_destinations)
         self.new_environment, self.replica_protocol = new_environment, replica_protocol
+        self.documents = document_store.DocumentStore(disk, packed_document.digest_of)
         opened = [self.open_part(part) for part in range(constants.PART_COUNT)]
         self.members = [member for member, _ in opened]
         self.leader_tasks = [leader_task for _, leader_task in opened]
@@ -99,13 +104,15 @@
             self.member_id,
             settings["http"],
             self.first_start.addresses,
-            service_part.ServiceMachine() if part else config_machine.ConfigMachine(),
+            service_part.ServiceMachine() if part else config_machine.ConfigMachine(self.documents),
             self.gossip.keeper_addresses,
             failure_tolerance,
+            None if part else self.documents,
         )
         member.disk_fault_callback = self.disk_failed
         member.bootstrap_callback = self.forget_first_start
         if not part:
+            self.open_documents(member)
             in_force = settings.get("in_force_s", constants.DEFAULT_ACTIVATION_DELAY_S)
             return member, config_leader_task.ConfigLeaderTask(member, lease_bounds.LeaseBounds(in_force))
         tenure = settings.get("tenure_s")
@@ -117,6 +124,13 @@
             list_leader_task.ListLeaderTask(member, self.replicas)
         return member, leader_task
 
+    def open_documents(self, member: member_module.Member) -> None:
+        """Makes the large documents of the configuration's part ready for its member."""
+        document_server.DocumentServer(member.environment, self.documents)
+        count = earlier_documents.convert(member, self.documents)
+        if count:
+            log_buffer.report("large_documents_converted", part=member.part, count=count)
+
     def disk_failed(self):
         """Called when a disk fault has stopped a member: starts to retry the disk, unless that is running."""
         if not self.waiting_for_disk:
@@ -144,6 +158,7 @@
         """Reopens the members stopped by a disk fault, as a process start would; raises DiskError."""
         for part, stopped_member in enumerate(self.members):
             if stopped_member.stopped_by_disk_fault:
+                self.documents.load()
                 member, leader_task = self.open_part(part)
                 stopped_member.environment.stop()
                 self.members[part], self.leader_tasks[part] = member, leader_task
--- a/mothshed/control_plane/leaseholder.py
+++ b/mothshed/control_plane/leaseholder.py
@@ -16,6 +16,7 @@
     active: int = 0  # the sequence that it serves
     last_request: float = 0.0  # time of its last request
     takes_changes: bool = False  # whether it accepts documents as differences
+    takes_pieces: bool = False  # whether it fetches large documents in pieces
     # sequence -> time at which its document was last sent
     sent: dict[int, float] = dataclasses.field(default_factory=dict)
 
@@ -28,13 +29,14 @@
         ):
             self.sent.clear()
         self.staged, self.active = request["staged"], request["held"]
-        self.takes_changes = request["takes_changes"]
+        self.takes_changes, self.takes_pieces = request["takes_changes"], request.get("takes_pieces", False)
         self.last_request = now
 
     def next_missing(self, machine: typing.Any, now: float) -> document_delivery.MissingDocuments:
         """The documents to send now (see next_sequences) and the base for differences."""
         sequences = self.next_sequences(machine, now)
-        return document_delivery.MissingDocuments(sequences, self.staged if self.takes_changes and sequences else 0)
+        base = self.staged if self.takes_changes and sequences else 0
+        return document_delivery.MissingDocuments(sequences, base, self.takes_pieces)
 
     def next_sequences(self, machine: typing.Any, now: float) -> tuple[int, ...]:
         """The sequences to send now, marked as sent: the newest and the active one if missing and not in flight."""
--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -1,29 +1,41 @@
 """One member of the consensus group of one part: its log, its state and its state machine.
 
 A Member runs in the mailbox of its environment, one callback at a time. The chart `member.json` lists the state
-transitions. Election, replication, following and reconfiguration are mixins in modules of their own; this module
-holds what they share: the effective membership, proposals, applying committed entries to the part's state machine,
-and snapshots. A failed disk write or sync stops the member, because the contents of its disk are then unknown.
+transitions. Election, replication, following, snapshots, large documents and reconfiguration are mixins in modules of
+their own; this module holds what they share: the effective membership, proposals, and applying committed entries to the
+part's state machine. A failed disk write or sync stops the member, because the contents of its disk are then unknown.
 """
 
 import typing
 
-import mothshed.constants as constants
 import mothshed.control_plane.callbacks as callbacks
 import mothshed.control_plane.election as election
 import mothshed.control_plane.following as following
 import mothshed.control_plane.membership as membership
 import mothshed.control_plane.reconfiguration as reconfiguration
 import mothshed.control_plane.replication as replication
+import mothshed.control_plane.snapshots as snapshots
+import mothshed.control_plane.stored_documents as stored_documents
 import mothshed.runtime.charts as charts
 import mothshed.runtime.log_buffer as log_buffer
 import mothshed.storage.disk as disk_module
 import mothshed.storage.disk_log as disk_log
+import mothshed.storage.log_format as log_format
 
+RECORD_KINDS = (
+    "vote_ask vote_say append append_say snap snap_say hand born_ask born_say join_ask leave leave_say"
+).split()  # handled by `on_KIND`
 GROUP_COMMANDS = frozenset({"members", "begin"})  # handled by every release, whatever the state machine of the part
 
 
-class Member(election.Election, replication.Replication, following.Following, reconfiguration.Reconfiguration):
+class Member(
+    election.Election,
+    replication.Replication,
+    stored_documents.StoredDocuments,
+    following.Following,
+    snapshots.Snapshots,
+    reconfiguration.Reconfiguration,
+):
     def __init__(
         self,
         environment,
@@ -35,6 +47,7 @@
         machine,
         known_addresses=lambda: [],
         failure_tolerance=None,
+        documents=None,
     ):
         self.environment, self.part, self.member_id, self.http = environment, part, member_id, http
         self.address = environment.address
@@ -61,6 +74,7 @@
         self.init_election()
         self.reset_replication()
         self.init_following()
+        self.init_documents(documents)
         self.init_reconfiguration()
         self.refresh_membership()
         if self.members:
@@ -69,20 +83,7 @@
                 self.chart.step("learn")
 
     def start(self):
-        for kind in (
-            "vote_ask",
-            "vote_say",
-            "append",
-            "append_say",
-            "snap",
-            "snap_say",
-            "hand",
-            "born_ask",
-            "born_say",
-            "join_ask",
-            "leave",
-            "leave_say",
-        ):
+        for kind in RECORD_KINDS:
             self.environment.subscribe(kind, self.handle_disk_faults(getattr(self, "on_" + kind)), self.part)
         self.environment.post(self.tick)
 
@@ -167,6 +168,11 @@
         except disk_module.DiskError as error:
             self.fail_disk(error)
             return
+        except log_format.EncodingError as error:  # nothing was written
+            log_buffer.failure("command_not_encoded", error, part=self.part, op=command["op"])
+            del self.pending_proposals[index]
+            callback(None)
+            return
         if command.get("op") == "members":
             self.refresh_membership()
         self.advance_commit_index()
@@ -198,23 +204,6 @@
         self.last_applied = index - 1
         self.stop()
 
-    def snapshot_due(self):
-        """Whether the entries since the newest snapshot exceed the limit on their number or size."""
-        since = self.last_applied - (self.log.snapshot["index"] if self.log.snapshot else 0)
-        return since >= constants.SNAPSHOT_INTERVAL_ENTRIES or (
-            since > 0 and self.log.bytes_since_snapshot > constants.SNAPSHOT_INTERVAL_BYTES
-        )
-
-    def take_snapshot(self):
-        snapshot = {
-            "index": self.last_applied,
-            "term": self.log.term_at(self.last_applied),
-            "membership": self.membership_at(self.last_applied)[0].command(),
-            "state": self.machine.dump(),
-        }
-        keep = max(self.log.base, self.last_applied - constants.MAX_RETAINED_LOG_ENTRIES)
-        self.log.put_snapshot(snapshot, keep)
-
     def not_committed_before(self, index: int) -> float | None:
         """A time on this member's clock before which an entry was certainly not committed; None if unknown."""
         term = self.log.term_at(index)
--- a/mothshed/control_plane/operator_api.py
+++ b/mothshed/control_plane/operator_api.py
@@ -15,18 +15,22 @@
 """
 
 import collections.abc
+import contextlib
 import json
-import secrets
 import typing
-import urllib.parse
 
 import mothshed.configuration.document as configuration
 import mothshed.configuration.document_change as document_change
+import mothshed.configuration.document_limits as document_limits
 import mothshed.constants as constants
 import mothshed.control_plane.confirmed_calls as confirmed_calls
-import mothshed.control_plane.document_delivery as document_delivery
+import mothshed.control_plane.document_rows as document_rows
+import mothshed.control_plane.large_orders as large_orders
 import mothshed.control_plane.leader_hint as leader_hint
+import mothshed.control_plane.operator_orders as operator_orders
+import mothshed.control_plane.operator_reads as operator_reads
 import mothshed.control_plane.operator_responses as operator_responses
+import mothshed.control_plane.order_documents as order_documents
 import mothshed.http.http_server as http_server
 import mothshed.http.request_body as request_body
 
@@ -35,14 +39,16 @@
 Command = dict[str, typing.Any]  # for the log of the configuration part
 Result = dict[str, typing.Any]  # result of such a command
 Respond = collections.abc.Callable[[StartResponse, Command, Result], list[bytes]]
-BuildDocument = collections.abc.Callable[[document_change.Document | None], document_change.Document]
+BuildDocument = collections.abc.Callable[[document_rows.StoredDocument | None], document_change.Document]
+WsgiCall = collections.abc.Callable[[Environ, StartResponse], list[bytes]]
 INVALID_JSON_ERRORS = (ValueError, RecursionError)
 
 
-class OperatorApi:
+class OperatorApi(operator_reads.OperatorReads):
     def __init__(self, keeper):
         self.keeper = keeper
         self.calls = confirmed_calls.ConfirmedCalls(keeper.environment, lambda: self.member)
+        self.large_orders = large_orders.LargeOrders(keeper.environment)
 
     @property
     def member(self) -> typing.Any:
@@ -66,11 +72,17 @@
         if method not in table[path]:
             methods = ", ".join(sorted(table[path]))
             return http_server.error_response(start_response, 405, f"use {methods}", headers=[("Allow", methods)])
+        return self.run(table[path][method], environ, start_response)
+
+    def run(self, call: WsgiCall, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Run the call of a path, and respond to errors that any of them may raise."""
         try:
-            return table[path][method](environ, start_response)
+            return call(environ, start_response)
         except request_body.BodyError as error:
             headers = [("Connection", "close")]
             return http_server.error_response(start_response, error.status, error.reason, headers=headers)
+        except large_orders.LargeOrdersBusyError:
+            return operator_responses.respond_busy(start_response)
 
     def get_condition(self, environ, start_response):
         condition = self.keeper.condition()
@@ -92,59 +104,36 @@
         location = f"http://{leader['http']}{environ['PATH_INFO']}" + (f"?{query}" if query else "")
         return http_server.respond(start_response, 307, {"leader": leader["http"]}, [("Location", location)])
 
-    def confirmed_read(self, environ, start_response, query):
-        redirect = self.redirect_to_leader(environ, start_response)
-        if redirect:
+    def put_configuration(self, environ, start_response):
+        data = request_body.read_body(environ)
+        is_large = large_orders.is_large(data)
+        redirect = is_large and self.redirect_to_leader(environ, start_response)
+        if redirect:  # without parsing: the leader does that
             return redirect
-        try:
-            return http_server.respond(start_response, 200, self.calls.read(query))
-        except confirmed_calls.NotConfirmed:
+        if is_large and not self.member.has_quorum():
             return operator_responses.respond_not_confirmed(start_response)
+        with self.large_orders.turn(is_large):
+            return self.put_document(environ, start_response, data)
 
-    def get_configuration(self, environ, start_response):
-        def query():
-            machine = self.member.machine
-            rows = {s: row["doc"] for s, row in machine.docs.items()}
-            return {
-                "active": machine.active,
-                "latest": machine.latest,
-                "document": rows.get(machine.active),
-                "latest_document": rows.get(machine.latest),
-                **self.keeper.leader_tasks[0].report(),
-            }
-
-        return self.confirmed_read(environ, start_response, query)
-
-    def get_history(self, environ, start_response):
-        order_ids = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("id", [])
-
-        def query():
-            machine = self.member.machine
-            return {
-                "active": machine.active,
-                "latest": machine.latest,
-                "rows": [history_row(sequence, row) for sequence, row in sorted(machine.docs.items())],
-                "taken": {order_id: machine.accepted.sequence_of(order_id) for order_id in order_ids},
-            }
-
-        return self.confirmed_read(environ, start_response, query)
-
-    def put_configuration(self, environ, start_response):
+    def put_document(self, environ: Environ, start_response: StartResponse, data: bytes) -> list[bytes]:
+        """Have the document of a request body accepted, if it is valid."""
         try:
-            body = json.loads(request_body.read_body(environ))
+            body = json.loads(data)
         except INVALID_JSON_ERRORS as error:
             return http_server.error_response(start_response, 400, f"body is not JSON: {error}")
         redirect = self.redirect_to_leader(environ, start_response)
         if redirect:  # without validating: the leader does that, and a large document takes a while
             return redirect
-        errors = request_errors(body, {"document"})
+        errors = document_limits.encoding_errors(body) or operator_orders.request_errors(body, {"document"})
+        if not errors and large_orders.is_large(data) and body.get("id") and self.calls.is_known(body["id"]):
+            return self.submit(environ, start_response, operator_orders.stage_command(body), respond_to_order)
         validation = configuration.validate(body.get("document") if isinstance(body, dict) else {})
         if isinstance(body, dict):
             errors += [f"document.{error}" for error in validation.errors]
         if errors:
             return operator_responses.respond_not_applied(start_response, errors)
-        command = {**stage_command(body), "doc": validation.document}
-        return self.submit(environ, start_response, command, respond_to_order)
+        command = operator_orders.stage_command(body)
+        return self.submit(environ, start_response, command, respond_to_order, document=validation.document)
 
     def patch_configuration(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Apply a change of named items to the newest document; the resulting whole document is replicated."""
@@ -152,7 +141,7 @@
             body = json.loads(request_body.read_body(environ))
         except INVALID_JSON_ERRORS as error:
             return http_server.error_response(start_response, 400, f"body is not JSON: {error}")
-        errors = request_errors(body, {"put", "remove"})
+        errors = operator_orders.request_errors(body, {"put", "remove"}) or document_limits.encoding_errors(body)
         if errors:
             return operator_responses.respond_not_applied(start_response, errors)
         try:
@@ -160,10 +149,12 @@
         except document_change.ChangeError as error:
             return operator_responses.respond_not_applied(start_response, error.errors)
 
-        def build_document(newest: document_change.Document | None) -> document_change.Document:
-            return validated_document(document_change.apply_change(newest or {}, change))
+        def build_document(newest: document_rows.StoredDocument | None) -> document_change.Document:
+            document = newest.whole() if newest else {}
+            return operator_orders.validated_document(document_change.apply_change(document, change))
 
-        return self.submit(environ, start_response, stage_command(body), respond_to_order, build_document)
+        command = operator_orders.stage_command(body)
+        return self.submit(environ, start_response, command, respond_to_order, build_document=build_document)
 
     def submit(
         self,
@@ -171,17 +162,26 @@
         start_response: StartResponse,
         command: Command,
         respond: Respond,
+        document: document_change.Document | None = None,
         build_document: BuildDocument | None = None,
     ) -> list[bytes]:
         """Run an operator's order if this is the leader.
 
-        build_document: derives the document from the newest one, for orders that do not carry it whole.
+        document: that of the order; None if the order is known already. build_document: derives it from the newest
+        one instead.
         """
         redirect = self.redirect_to_leader(environ, start_response)
         if redirect:
             return redirect
         try:
-            result = self.calls.change(command, build_document) if build_document else self.calls.write(command)
+            with contextlib.ExitStack() as pins:
+                if build_document:
+                    result = self.calls.change(command, lambda newest: self.build_fields(build_document, newest, pins))
+                elif document is not None:
+                    fields = order_documents.stored_fields(self.member, document, pins)
+                    result = self.calls.write({**command, **fields})
+                else:
+                    result = self.calls.write(command)
         except document_change.ChangeError as error:
             return operator_responses.respond_not_applied(start_response, error.errors)
         except confirmed_calls.NotConfirmed:
@@ -192,11 +192,15 @@
             return operator_responses.respond_outcome_unknown(start_response, command["id"])
         return respond(start_response, command, result)
 
-
-def history_row(sequence: int, row: dict[str, typing.Any]) -> dict[str, typing.Any]:
-    """A row of the history, without the operator's original text, which may contain keys."""
-    document = document_delivery.deliverable_document(row["doc"])
-    return {"sequence": sequence, "by": row["by"], "id": row["id"], "document": document}
+    def build_fields(
+        self,
+        build_document: BuildDocument,
+        newest: document_rows.StoredDocument | None,
+        pins: contextlib.ExitStack,
+    ) -> Command:
+        """The fields of a command that carry the document derived from the newest one."""
+        with self.large_orders.turn(newest is not None and newest.is_large):
+            return order_documents.stored_fields(self.member, build_document(newest), pins)
 
 
 def respond_to_order(start_response: StartResponse, command: Command, result: Result) -> list[bytes]:
@@ -205,37 +209,3 @@
         message = f"base {command['base']} is not the latest"
         return http_server.error_response(start_response, 409, message, current=result["conflict"])
     return http_server.respond(start_response, 200, {"sequence": result["sequence"], "id": command["id"]})
-
-
-def validated_document(document: document_change.Document) -> document_change.Document:
-    """The document that a change results in, with defaults; raises ChangeError if it is not valid."""
-    validation = configuration.validate(document)
-    if validation.document is None:
-        raise document_change.ChangeError([f"document.{error}" for error in validation.errors])
-    size = len(json.dumps(validation.document))
-    if size > constants.MAX_BODY_BYTES:
-        raise document_change.ChangeError([f"document: {size} bytes, more than {constants.MAX_BODY_BYTES}"])
-    return validation.document
-
-
-def stage_command(body: dict[str, typing.Any]) -> Command:
-    """The command for an operator's order, without its document."""
-    return {
-        "op": "stage",
-        "base": body["base"],
-        "by": body.get("by", ""),
-        "id": body.get("id") or secrets.token_hex(8),
-    }
-
-
-def request_errors(body: typing.Any, fields: set[str]) -> list[str]:
-    """Errors in the structure of an order. fields: those allowed besides base, by and id."""
-    if not isinstance(body, dict):
-        return [f"document: expected an object with base and {' and '.join(sorted(fields))}"]
-    errors = []
-    if not isinstance(body.get("base"), int) or isinstance(body.get("base"), bool) or body["base"] < 0:
-        errors.append("base: expected the sequence this document was made from, 0 for the first")
-    for field in ("by", "id"):
-        if not isinstance(body.get(field, ""), str):
-            errors.append(f"{field}: expected text")
-    return errors + [f"{field}: unknown" for field in sorted(set(body) - {"base", "by", "id"} - fields)]
--- a/mothshed/control_plane/operator_responses.py
+++ b/mothshed/control_plane/operator_responses.py
@@ -21,3 +21,9 @@
 def respond_not_applied(start_response: StartResponse, faults: list[str]) -> list[bytes]:
     """Respond that the order is invalid, with all its faults."""
     return http_server.error_response(start_response, 400, "nothing was applied", faults=faults)
+
+
+def respond_busy(start_response: StartResponse) -> list[bytes]:
+    """Respond that nothing was done, as another large order is being handled."""
+    message = "another large document is being handled; nothing was written"
+    return http_server.error_response(start_response, 503, message, retry_after_s=constants.RETRY_AFTER_S)
--- a/mothshed/control_plane/progress.py
+++ b/mothshed/control_plane/progress.py
@@ -28,6 +28,7 @@
         self.match_index, self.next_index = 0, next_index
         self.echoed_round, self.last_response_at = 0, now  # newest round echoed; time of the last response
         self.has_responded = False  # whether it has responded to this leader at all
+        self.holds_back = False  # whether it did not take entries whose documents it fetches first
         self.in_flight: collections.deque[InFlightEntries] = collections.deque()
         self.last_stale_round = 0  # rejections of this round and earlier ones are ignored
         self.transfer: snapshot_transfer.SnapshotTransfer | None = None  # set while a snapshot is sent
@@ -36,6 +37,10 @@
         """Bytes of entries that may be sent now, by the window."""
         return constants.REPLICATION_WINDOW_BYTES - sum(entries.size for entries in self.in_flight)
 
+    def may_send_at_once(self) -> bool:
+        """Whether further entries may be sent before the next heartbeat."""
+        return not self.holds_back and self.available_window_bytes() > 0
+
     def record_sent(self, round_number: int, last: int, size: int) -> None:
         """Records that entries up to index `last` were sent."""
         self.in_flight.append(InFlightEntries(round_number, last, size))
@@ -50,7 +55,7 @@
         """Records that the follower has stored all entries up to index `match`."""
         self.match_index = max(self.match_index, match)
         while self.in_flight and self.in_flight[0].round <= round_number:
-            self.in_flight.popleft()
+            self.holds_back = self.in_flight.popleft().last > match
         if not self.in_flight or self.next_index <= self.match_index:
             self.next_index = self.match_index + 1
 
--- a/mothshed/control_plane/replication.py
+++ b/mothshed/control_plane/replication.py
@@ -96,7 +96,9 @@
 
     def send_snapshot_chunk(self, member, progress):
         """Starts a transfer of the newest snapshot, or continues the one in progress."""
-        now = self.environment.now()
+        now, transfer = self.environment.now(), progress.transfer
+        if transfer is not None and transfer.is_overdue(now) and not self.is_newest(transfer):
+            progress.transfer = None  # the documents of an earlier snapshot may be gone
         if progress.transfer is None:
             if self.encoded_snapshot is None or self.encoded_snapshot.index != self.log.snapshot["index"]:
                 self.encoded_snapshot = snapshot_transfer.EncodedSnapshot(self.log.snapshot)
@@ -104,6 +106,10 @@
         if progress.transfer.chunk_due(now):
             self.send(member, "snap", term=self.log.term, **progress.transfer.next_chunk(now))
 
+    def is_newest(self, transfer: snapshot_transfer.SnapshotTransfer) -> bool:
+        """Whether a transfer sends the newest snapshot."""
+        return bool(transfer.snapshot.index == self.log.snapshot["index"])
+
     def on_snap_say(self, sender, body):
         progress = self.progress.get(body["who"])
         if not self.is_leader or body["term"] != self.log.term or progress is None:
@@ -139,7 +145,7 @@
                 progress.record_accepted(body["match"], body["round"])
             else:
                 progress.record_rejected(body["match"], body["round"], self.round)
-        if progress.next_index <= self.log.last and progress.available_window_bytes() > 0:
+        if progress.next_index <= self.log.last and progress.may_send_at_once():
             self.replicate()
         self.advance_confirmed_round()
         self.advance_commit_index()
--- a/mothshed/control_plane/snapshot_transfer.py
+++ b/mothshed/control_plane/snapshot_transfer.py
@@ -33,7 +33,11 @@
 
     def chunk_due(self, now: float) -> bool:
         """Whether to send the next chunk: none is outstanding, or its response is overdue."""
-        return self.sent_at is None or now - self.sent_at > constants.SNAPSHOT_CHUNK_RESEND_S
+        return self.sent_at is None or self.is_overdue(now)
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether a chunk is outstanding for too long."""
+        return self.sent_at is not None and now - self.sent_at > constants.SNAPSHOT_CHUNK_RESEND_S
 
     def next_chunk(self, now: float) -> Fields:
         """The fields of the record that carries the next chunk."""
--- a/mothshed/http/http_server.py
+++ b/mothshed/http/http_server.py
@@ -62,6 +62,12 @@
     return [data]
 
 
+def respond_json_text(start: StartResponse, status: int, data: bytes) -> list[bytes]:
+    """Respond with a body that is JSON text already."""
+    start(status_line(status), [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+    return [data]
+
+
 def error_response(
     start: StartResponse,
     status: int,
--- a/mothshed/storage/disk_log.py
+++ b/mothshed/storage/disk_log.py
@@ -26,7 +26,7 @@
         self.stem = f"part-{part}"
         self.generation, self.segment = 0, 0  # segment 0: this generation has no segment yet
         self.segment_size = 0
-        self.bytes_since_snapshot = 0  # bytes of all segments of this generation
+        self.bytes_since_snapshot = 0  # of all segments of this generation, and of what their entries refer to
         self.failed = False
         self.load()
 
@@ -48,6 +48,7 @@
             raise disk_module.DiskCorruptionError(f"{self.stem}: segments are missing, found only {numbers}")
         for number in numbers:
             self.read_segment(number, number == numbers[-1])
+        self.bytes_since_snapshot += sum(map(log_state.referenced_bytes, self.entries))
         if self.generation and not numbers:
             self.disk.sync_directory()  # a process killed in put_snapshot may not have synced the directory
         self.remove_stale_files(names)
@@ -112,6 +113,7 @@
         self.write(rows)
         for entry, row in zip(entries, rows, strict=True):
             self.store_entry(entry, len(row))
+            self.bytes_since_snapshot += log_state.referenced_bytes(entry)
 
     def write(self, rows):
         """Writes rows as one frame and syncs it."""
--- a/mothshed/storage/log_format.py
+++ b/mothshed/storage/log_format.py
@@ -15,6 +15,7 @@
 import json
 import re
 import struct
+import typing
 import zlib
 
 import mothshed.storage.disk as disk_module
@@ -55,9 +56,16 @@
     has_frame_after_damage: bool  # whether a complete frame follows a damaged one
 
 
-def encode(row):
-    """Encodes one row, a JSON object, without line breaks."""
-    return json.dumps(row, separators=(",", ":")).encode()
+class EncodingError(Exception):
+    """A row that is no JSON, or nested too deeply to be encoded."""
+
+
+def encode(row: typing.Any) -> bytes:
+    """Encodes one row, a JSON object, without line breaks; raises EncodingError."""
+    try:
+        return json.dumps(row, separators=(",", ":")).encode()
+    except (ValueError, TypeError, RecursionError) as error:
+        raise EncodingError(f"{type(error).__name__} in a row of the log") from error
 
 
 def encode_header(header):
--- a/mothshed/storage/log_state.py
+++ b/mothshed/storage/log_state.py
@@ -9,6 +9,12 @@
 Entry = dict[str, typing.Any]  # {"i": index, "t": term, "c": command}
 
 
+def referenced_bytes(entry: Entry) -> int:
+    """Bytes of the stored document that an entry refers to; they are kept as long as the entry."""
+    document = entry["c"].get("document")
+    return int(document["length"]) if document else 0
+
+
 class LogState:
     """The state of one part's log. An entry is {"i": index, "t": term, "c": command}."""
 
@@ -76,10 +82,13 @@
         self.sizes.append(size)
 
     def retained_base(self, index: int, min_base: int) -> int:
-        """The lowest base from `min_base` on that retains at most MAX_RETAINED_LOG_BYTES of entries up to index."""
+        """The lowest base from `min_base` on that retains at most MAX_RETAINED_LOG_BYTES of entries up to index.
+
+        Documents that the entries refer to count.
+        """
         size = 0
         for at in range(index, min_base, -1):
-            size += self.entry_bytes(at)
+            size += self.entry_bytes(at) + referenced_bytes(self.get(at))
             if size > constants.MAX_RETAINED_LOG_BYTES:
                 return at
         return min(min_base, index)
--- a/mothshed/transport/constants.py
+++ b/mothshed/transport/constants.py
@@ -14,9 +14,10 @@
 
 # --- records and connections ---------------------------------------------
 MAX_RECORD_BYTES = 8388608  # a longer peer record closes the connection
-RECORD_FORMAT_VERSION = 2  # number; raised with each field or kind added to the record table
+RECORD_FORMAT_VERSION = 3  # number; raised with each field or kind added to the record table
 MAX_RECORD_REPORT_BURST_LINES = 4  # about records that can't be packed
 RECORD_REPORT_LINES_PER_S = 0.2  # beyond it lines stay in memory
+PIECES_RELEASE = 3  # number; the first release whose processes fetch large documents in pieces
 PEER_FALLBACK_S = 10.0  # a peer that closed at the hello is addressed in the former release's protocol for this long
 MAX_PEER_QUEUE_RECORDS = 512  # waiting for one peer; more are dropped and peers ask again
 PEER_CONNECT_TIMEOUT_S = 0.5
--- a/mothshed/transport/record_kinds.py
+++ b/mothshed/transport/record_kinds.py
@@ -123,12 +123,17 @@
     kind(21, "leave_say", "part:q who:s finished:?"),
     kind(22, "hand", "part:q term:q who:s"),
     # configuration and leases
-    kind(23, "ask", "part:q mark:q held:q staged:q takes_changes:?@2=false"),
-    kind(24, "grant", "part:q mark:q length:d number:q active:q docs:j leader:s changes:j@2=[]"),
-    kind(25, "news", "part:q number:q active:q docs:j changes:j@2=[]"),
+    kind(23, "ask", "part:q mark:q held:q staged:q takes_changes:?@2=false takes_pieces:?@3=false"),
+    kind(24, "grant", "part:q mark:q length:d number:q active:q docs:j leader:s changes:j@2=[] large:j@3=[]"),
+    kind(25, "news", "part:q number:q active:q docs:j changes:j@2=[] large:j@3=[]"),
     kind(26, "news_ack", "part:q number:q staged:q"),
     kind(27, "look_elsewhere", "part:q mark:q leader:s"),
     # rate limits of tenants
     kind(28, "permit_ask", "part:q mark:q sequence:q counts:j", 2),
     kind(29, "permits", "part:q mark:q sequence:q grants:j", 2),
+    # large documents in pieces, for leaseholders and for members
+    kind(30, "document_ask", "part:q digest:s first:q start:q end:q", 3),
+    kind(31, "document_piece", "part:q digest:s first:q start:q piece:s", 3),
+    kind(32, "member_document_ask", "part:q digest:s first:q start:q end:q", 3),
+    kind(33, "member_document_piece", "part:q digest:s first:q start:q piece:s", 3),
 )
--- a/tests/all_orders.py
+++ b/tests/all_orders.py
@@ -54,6 +54,12 @@
         for address in addresses:
             self.send(address, kind, **body)
 
+    def releases(self):
+        return {}
+
+    def spawn(self, callback):
+        callback()
+
     def subscribe(self, kind, callback, part=None):
         self.pool.handlers.setdefault(self.address, {})[(kind, part)] = callback
 
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -49,6 +49,9 @@
         self.is_leader, self.confirmed, self.mailbox_blocked, self.commits = True, True, False, "immediate"
         self.mailbox, self.proposed, self.pending_commits, self.events = [], [], [], []
 
+    def all_members_fetch_documents(self):
+        return True
+
     def has_quorum(self):
         return self.is_leader and self.confirmed
 
--- a/tests/test_lease_state.py
+++ b/tests/test_lease_state.py
@@ -7,9 +7,12 @@
 import hypothesis.strategies as strategies
 
 import mothshed.configuration.lease as lease_module
+import mothshed.configuration.packed_document as packed_document
 import mothshed.constants as constants
 import mothshed.control_plane.config_leader_task as config_leader_task
 import mothshed.control_plane.config_machine as config_machine
+import mothshed.control_plane.document_server as document_server
+import mothshed.storage.document_store as document_store
 import tests.all_orders as all_orders
 
 STEADY = hypothesis.settings(derandomize=True, max_examples=150, deadline=None, database=None)
@@ -50,6 +53,8 @@
     """A message pool, the leader task, and leases that hold sequence 1."""
     pool = all_orders.Pool()
     task = config_leader_task.ConfigLeaderTask(FakeMember(all_orders.ManualEnvironment(pool, "a:1")))
+    task.machine.store = document_store.DocumentStore(all_orders.disk(), packed_document.digest_of)
+    document_server.DocumentServer(task.environment, task.machine.store)
     task.machine.apply(0, stage(0, 1, "order 0", {"n": 1, "as_sent": {"big": "text"}}))
     task.machine.active = 1
     task.start()
