A callback that holds its mailbox is reported

Whether heartbeats and leases wait behind the work of their own mailbox couldn't be read from any log. A callback that takes over 0.3 s, half of the time after which a leader without responses steps down, is reported with its name and duration (`mailbox_held`), within a rate limit. Records are passed to mailboxes as partial calls, so that the name is that of the handler.

--- a/mothshed/control_plane/member.py
+++ b/mothshed/control_plane/member.py
@@ -6,6 +6,7 @@
 part's state machine. A failed disk write or sync stops the member, because the contents of its disk are then unknown.
 """
 
+import functools
 import typing
 
 import mothshed.control_plane.callbacks as callbacks
@@ -88,6 +89,7 @@
         self.environment.post(self.tick)
 
     def handle_disk_faults(self, callback):
+        @functools.wraps(callback)
         def run_callback(*args):
             if self.chart.state == "stopped":
                 return
--- a/mothshed/programs/environment.py
+++ b/mothshed/programs/environment.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import functools
 import random
 import threading
 import time
@@ -78,7 +79,7 @@
 
     def subscribe(self, kind, call, part=None):
         """Run call(sender, body) in this environment's mailbox for each received record of this kind."""
-        self.peers.subscribe(kind, part, lambda sender, body: self.post(lambda: call(sender, body)))
+        self.peers.subscribe(kind, part, lambda sender, body: self.post(functools.partial(call, sender, body)))
 
     def releases(self) -> dict[str, int]:
         """Return the record release that each connected peer uses, by peer."""
--- a/mothshed/runtime/constants.py
+++ b/mothshed/runtime/constants.py
@@ -11,3 +11,6 @@
 STOP_FLUSH_TIMEOUT_S = 1.0  # a stop waits so long, at most, for a log that is not read
 EXIT_FLUSH_TIMEOUT_S = 0.1  # the same at the end of a process, which has little of its grace time left
 MAX_PENDING_LOG_BYTES = 4_000_000  # some writes of the whole log buffer
+MAILBOX_HELD_REPORT_S = 0.3  # half of the time after which a leader without responses steps down
+MAX_MAILBOX_REPORT_BURST_LINES = 4  # about callbacks that held a mailbox for longer
+MAILBOX_REPORT_LINES_PER_S = 0.2  # beyond it lines stay in memory
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,14 +1,17 @@
 """The log buffer writes each journal event once, and `mothshed logs` merges log files by time."""
 
+import functools
 import json
 import subprocess
 import sys
+import types
 
 import pytest
 
 import mothshed.programs.logs as logs
 import mothshed.runtime.journal as journal_module
 import mothshed.runtime.log_buffer as log_buffer
+import mothshed.runtime.mailbox as mailbox
 
 
 @pytest.fixture
@@ -178,3 +181,16 @@
 def test_a_field_of_several_lines_stays_on_one():
     row = {"timestamp": 0.0, "message_type": "x", "process": "p", "error": "a\nb", "n": 3, "none": None, "empty": ""}
     assert logs.format_row(row) == '1970-01-01T00:00:00.000Z p x error="a\\nb" n=3 none=null empty=""'
+
+
+def test_a_callback_that_holds_its_mailbox_is_reported(monkeypatch):
+    """Guards against heartbeats that wait behind work of their own mailbox without a trace in the log."""
+    rows = []
+    monkeypatch.setattr(
+        mailbox.log_buffer, "report_limited", lambda limiter, kind, **fields: rows.append((kind, fields))
+    )
+    times = iter([1.0, 1.1, 2.0, 2.5])
+    monkeypatch.setattr(mailbox, "time", types.SimpleNamespace(monotonic=lambda: next(times)))
+    for _ in range(2):
+        mailbox.Mailbox.on_receive(None, functools.partial(json.dumps, 1))
+    assert rows == [("mailbox_held", {"held_s": 0.5, "callback": "dumps"})]
