A replica whose text no record can carry hides no other

Half a character in the depot, zone, address or id of one replica of the platform's list made every load report of a router fail (`part_of` encodes the service), and the records of the list couldn't name it to older readers.

Measured: the new case of tests/test_failed_sends.py fails before.

--- a/tests/test_failed_sends.py
+++ b/tests/test_failed_sends.py
@@ -19,6 +19,7 @@
 import tests.all_orders as all_orders
 import tests.group_model as group_model
 import tests.peer_nodes as peer_nodes
+import tests.platform_site as platform_site
 
 
 def nested(levels):
@@ -157,6 +158,24 @@
     assert results == [None, False] or results == [False, None]
 
 
+def test_a_replica_whose_text_no_record_can_carry_hides_no_other():
+    """Guards against half a character in the platform's list, which ended the load reports of all replicas."""
+    items = [
+        {
+            "replica_id": f"i-{n}",
+            "depot": depot,
+            "address": "127.0.0.1:1",
+            "zone": "a",
+            "condition": "in_service",
+            "berths": 1,
+        }
+        for n, depot in enumerate(["one", "\ud800", "two"])
+    ]
+    web = types.SimpleNamespace(poll=lambda *args, **options: (200, {"replicas": items, "next_token": None}))
+    protocol = platform_site.replica_protocol.PlatformReplicaProtocol()
+    assert list(protocol.rows(types.SimpleNamespace(web=web), "http://list")) == ["i-0", "i-2"]
+
+
 def test_a_list_that_cannot_be_read_ends_no_later_reading():
     """Guards against one page with hostile text ending the list readings of a whole term."""
     readings = []
