Less memory for large documents: no former one is kept as a base

Cause: each process kept the formerly active document, as the base of differences that may be under way. Large documents are never sent as differences, so that copy served nothing.

--- a/mothshed/configuration/large_documents.py
+++ b/mothshed/configuration/large_documents.py
@@ -8,6 +8,7 @@
 import functools
 import typing
 
+import mothshed.configuration.constants as configuration_constants
 import mothshed.configuration.document_fetch as document_fetch
 import mothshed.configuration.packed_document as packed_document
 import mothshed.runtime.log_buffer as log_buffer
@@ -30,6 +31,7 @@
         self.environment, self.on_document = environment, on_document
         self.document_fetch = document_fetch.DocumentFetch(environment, "document_ask", "document_piece")
         self.in_unpacking: set[int] = set()  # sequences
+        self.sequences: set[int] = set()  # of the newest documents that were handed over
 
     def fetch(self, rows: list[Row], sender: str) -> None:
         """Fetch the documents that a record names, or go on with them; those of earlier records are given up."""
@@ -62,4 +64,5 @@
     def hand_over(self, sequence: int, document: Document, sender: str) -> None:
         """Hand over an unpacked document; runs in the mailbox."""
         self.in_unpacking.discard(sequence)
+        self.sequences = {*sorted(self.sequences)[-configuration_constants.MAX_LARGE_SEQUENCES :], sequence}
         self.on_document(sequence, document, sender)
--- a/mothshed/configuration/lease.py
+++ b/mothshed/configuration/lease.py
@@ -204,7 +204,10 @@
         if sequence <= self.active or sequence not in self.docs:
             return
         previous, self.active = self.active, sequence
-        self.previous_documents = {previous: self.docs[previous]} if previous in self.docs else {}
+        kept = (
+            previous in self.docs and previous not in self.large_documents.sequences
+        )  # those are no base of differences
+        self.previous_documents = {previous: self.docs[previous]} if kept else {}
         for older in [s for s in self.docs if s < sequence]:
             del self.docs[older]
         self.report_version(previous)
